--- /dev/null
+++ b/cmd/client.go
@@ -0,0 +1,61 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	clientTimeout = 30 * time.Second
+	maxReplyBytes = 64 << 20
+	keyVariable   = "VANILLAROUTE_OPERATOR_KEY"
+)
+
+// operatorClient speaks to a router as an operator.
+type operatorClient struct {
+	router string
+	key    string
+}
+
+func (c *operatorClient) flags(cmd *cobra.Command) {
+	cmd.PersistentFlags().StringVar(&c.router, "router", "http://127.0.0.1:8080", "address of any router")
+	cmd.PersistentFlags().StringVar(&c.key, "key", os.Getenv(keyVariable), "operators' key; by default the variable "+keyVariable)
+}
+
+// call sends a request and decodes its answer, which may have any of the accepted statuses.
+func (c *operatorClient) call(ctx context.Context, method, path string, body, answer any, accepted ...int) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.router+path, bytes.NewReader(raw))
+	if err != nil {
+		return 0, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "call router")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return 0, errors.Wrap(err, "read answer")
+	}
+	for _, status := range append(accepted, http.StatusOK) {
+		if resp.StatusCode == status {
+			return status, errors.Wrap(json.Unmarshal(data, answer), "decode answer")
+		}
+	}
+	return resp.StatusCode, errors.Errorf("router answered %s: %s", resp.Status, bytes.TrimSpace(data))
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,55 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+type rootCmd struct {
+	cmd  *cobra.Command
+	exit func(int)
+}
+
+// Execute runs the command line and ends through exit with 0, or with 1 after an error.
+func Execute(exit func(int), args []string) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	newRootCmd(exit).execute(ctx, args)
+}
+
+func newRootCmd(exit func(int)) *rootCmd {
+	root := &rootCmd{exit: exit}
+	root.cmd = &cobra.Command{
+		Use:           "vanillaroute",
+		Short:         "Routes the requests of many returning chats to a fleet of engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	root.cmd.AddCommand(
+		newServeCmd().cmd,
+		newCheckCmd().cmd,
+		newListCmd(planList).cmd,
+		newListCmd(allowanceList).cmd,
+		newStatusCmd().cmd,
+		newAddressesCmd().cmd,
+		newKeyCmd().cmd,
+		newTryCmd().cmd,
+		newStandinCmd().cmd,
+	)
+	return root
+}
+
+func (r *rootCmd) execute(ctx context.Context, args []string) {
+	r.cmd.SetArgs(args)
+	if err := r.cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(r.cmd.ErrOrStderr(), "error:", err)
+		r.exit(1)
+		return
+	}
+	r.exit(0)
+}
--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,87 @@
+package cmd
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/standin/site"
+)
+
+type standinCmd struct {
+	cmd      *cobra.Command
+	json     string
+	settings string
+	routers  int
+	duration time.Duration
+}
+
+func newStandinCmd() *standinCmd {
+	root := &standinCmd{}
+	root.cmd = &cobra.Command{
+		Use:   "standin",
+		Short: "Runs the stand-ins alone, and writes settings for routers that are started by hand",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return root.run(cmd) },
+	}
+	flags := root.cmd.Flags()
+	flags.StringVar(&root.json, "json", "", "file to write all addresses and keys to, as JSON")
+	flags.StringVar(&root.settings, "settings", "", "directory to write one settings file for each router to")
+	flags.IntVar(&root.routers, "routers", 3, "number of routers")
+	flags.DurationVar(&root.duration, "duration", 0, "time after which to stop; 0 runs until interrupted")
+	return root
+}
+
+func (s *standinCmd) run(cmd *cobra.Command) error {
+	plan := site.Museum()
+	all, err := site.Start(plan)
+	if err != nil {
+		return err
+	}
+	defer all.Close()
+	key := site.NewKey()
+	routers, err := routerSettings(all, s.routers, key)
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	if s.settings != "" {
+		if addresses, err = all.WriteSettings(s.settings, routers); err != nil {
+			return err
+		}
+	}
+	description := all.Describe(addresses, key)
+	if s.json != "" {
+		if err := description.WriteFile(s.json); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), "stand-ins are running; store at", description.Store)
+	waitFor(cmd.Context(), s.duration)
+	return nil
+}
+
+// routerSettings returns settings for routers on free ports, and lists them.
+func routerSettings(all *site.Site, n int, operatorKey string) ([]settings.Settings, error) {
+	var list []settings.Settings
+	for i := range n {
+		callers, err := site.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		peers, err := site.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		id := ident.Router(fmt.Sprintf("router-%d", i+1))
+		v, err := all.Settings(id, all.Plan.Domains[i%len(all.Plan.Domains)], callers, peers, operatorKey)
+		if err != nil {
+			return nil, err
+		}
+		all.ListRouter(v)
+		list = append(list, v)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/connection/callers/addresses.go
@@ -0,0 +1,67 @@
+package callers
+
+import (
+	"net/http"
+
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+)
+
+// maxAddresses is how many routers a caller is told of.
+const maxAddresses = 4
+
+// addresses serves GET /v1/addresses: the home of the chat's engine first, then the organisation's own subset.
+func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	view := s.Fleet.View()
+	var org ident.Organisation
+	if key, ok := bearer(r); ok {
+		plan, known := s.Config.Authenticate(key)
+		if !known {
+			writeRefusal(w, wire.Refuse(http.StatusUnauthorized, wire.CodeUnauthorised, "the key is not known"))
+			return
+		}
+		org = plan.Organisation
+	}
+	chat := ident.Chat(r.URL.Query().Get("chat"))
+	model := ident.Model(r.URL.Query().Get("model"))
+	spread := string(org)
+	if org == "" {
+		spread = string(chat)
+	}
+	picked := view.RoutersFor(spread, maxAddresses)
+	if chat != "" && model != "" {
+		key := relay.PickKey(wire.Submit{Organisation: org, Chat: chat, Model: model})
+		picked = homeFirst(view, model, key, picked)
+	}
+	list := []string{}
+	for _, i := range picked {
+		list = append(list, "http://"+i.Address)
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Addresses []string `json:"addresses"`
+		ValidMs   int64    `json:"validMs"`
+	}{list, s.Settings.Routing.AddressValidity.Std().Milliseconds()})
+}
+
+// homeFirst puts the home of the key's engine before the other routers.
+func homeFirst(view *fleet.View, model ident.Model, key string, others []fleet.Instance) []fleet.Instance {
+	engines := view.Candidates(model, key, 1)
+	if len(engines) == 0 {
+		return others
+	}
+	home := view.HomeOf(ident.Engine(engines[0].ID))
+	var first []fleet.Instance
+	for _, i := range view.Placed() {
+		if ident.Router(i.ID) == home {
+			first = append(first, i)
+		}
+	}
+	for _, i := range others {
+		if ident.Router(i.ID) != home && len(first) < maxAddresses {
+			first = append(first, i)
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/connection/callers/chat.go
@@ -0,0 +1,178 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+// Headers by which a caller names its chat and class, and resumes a stream.
+const (
+	HeaderChat  = "X-Chat-Id"
+	HeaderClass = "X-Class"
+	HeaderLast  = "Last-Event-ID"
+
+	bytesPerToken = 4
+)
+
+type (
+	// chatBody are the fields of a chat request that the router reads.
+	chatBody struct {
+		Model      ident.Model     `json:"model"`
+		Stream     bool            `json:"stream"`
+		User       string          `json:"user"`
+		Messages   json.RawMessage `json:"messages"`
+		ResumeText string          `json:"resumeText"`
+	}
+
+	// answering is one chat while its answer is written.
+	answering struct {
+		server  *Server
+		submit  wire.Submit
+		out     *eventWriter
+		started time.Time
+		last    time.Time
+		engine  ident.Engine
+		tokens  int
+	}
+)
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	plan, allowance, refusal := s.authenticate(r)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	submit, refusal := s.readChat(w, r, plan, allowance)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	s.Point("authenticated", submit.Request)
+	if refusal := s.Shares.Take(r.Context(), plan.Organisation, allowance, len(submit.Body)/bytesPerToken, now); refusal != nil {
+		s.finished(submit, "", refusal, now)
+		writeRefusal(w, refusal)
+		return
+	}
+	s.Point("limited", submit.Request)
+	a := &answering{server: s, submit: submit, out: newEventWriter(w, submit.Stream, submit.Request), started: now, last: now}
+	defer func() { s.Shares.Done(plan.Organisation, a.tokens, time.Now()) }()
+	end, err := s.Relay.Run(r.Context(), submit, a.event, now)
+	if err != nil {
+		s.Metrics.Add("callersLeft", 1)
+		return
+	}
+	s.Point("answered", submit.Request)
+	s.finished(submit, a.engine, end.Refusal, now)
+	a.out.end(end.Refusal)
+}
+
+// readChat checks the request and returns it as homes take it.
+func (s *Server) readChat(w http.ResponseWriter, r *http.Request, plan lists.PlanEntry, allowance lists.Allowance) (wire.Submit, *wire.Refusal) {
+	body, refusal := readBody(w, r)
+	if refusal != nil {
+		return wire.Submit{}, refusal
+	}
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return wire.Submit{}, wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "the body is not valid JSON: %s", err)
+	}
+	if b.Model == "" || len(b.Messages) == 0 {
+		return wire.Submit{}, wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "expected the fields model and messages")
+	}
+	if len(s.Fleet.View().OfModel(b.Model)) == 0 {
+		return wire.Submit{}, wire.Refuse(http.StatusNotFound, wire.CodeUnknownModel, "no engine holds the model %q", b.Model)
+	}
+	if !allowance.MayUseModel(b.Model) {
+		return wire.Submit{}, wire.Refuse(http.StatusForbidden, wire.CodeForbidden, "the plan does not include the model %q", b.Model)
+	}
+	submit := wire.Submit{
+		Request: ident.NewRequest(), Organisation: plan.Organisation, Model: b.Model, Stream: b.Stream, Body: body,
+		Class: s.Settings.Routing.Class(ident.Class(r.Header.Get(HeaderClass))).Name,
+		Chat:  ident.Chat(r.Header.Get(HeaderChat)),
+	}
+	if submit.Chat == "" {
+		submit.Chat = ident.Chat(b.User)
+	}
+	return resumed(submit, b, r.Header.Get(HeaderLast))
+}
+
+// resumed takes up the stream that the caller had a part of.
+func resumed(submit wire.Submit, b chatBody, last string) (wire.Submit, *wire.Refusal) {
+	if last == "" || !b.Stream {
+		return submit, nil
+	}
+	e, err := ident.ParseEvent(last)
+	if err != nil {
+		return wire.Submit{}, wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "%s", err)
+	}
+	submit.Request = e.Request
+	submit.Engine = e.Engine
+	submit.From = e.Offset + 1
+	submit.Received = b.ResumeText
+	return submit, nil
+}
+
+// event writes one event to the caller.
+func (a *answering) event(e ident.Event, data []byte) error {
+	now := time.Now()
+	s := a.server
+	if a.tokens == 0 {
+		s.Point("firstToken", a.submit.Request)
+		s.Metrics.FirstToken(a.submit.Organisation, a.submit.Class, now.Sub(a.started))
+	} else {
+		s.Metrics.TokenGap(a.submit.Organisation, a.submit.Class, now.Sub(a.last))
+	}
+	a.last = now
+	a.engine = e.Engine
+	a.tokens++
+	return a.out.event(e, data)
+}
+
+// finished logs and counts the end of a request.
+func (s *Server) finished(submit wire.Submit, e ident.Engine, refusal *wire.Refusal, started time.Time) {
+	s.Log.Info("request", logs.Request(submit.Request, submit.Organisation, submit.Class, e, refusal)...)
+	s.Metrics.Total(submit.Organisation, submit.Class, time.Since(started))
+	if refusal == nil {
+		s.Metrics.Add("answered", 1)
+		return
+	}
+	s.Metrics.Add(string(refusal.Outcome), 1)
+}
+
+// models serves GET /v1/models: what the caller's plan may use and some engine holds.
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	_, allowance, refusal := s.authenticate(r)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	type model struct {
+		ID      ident.Model `json:"id"`
+		Object  string      `json:"object"`
+		Created int64       `json:"created"`
+		OwnedBy string      `json:"owned_by"`
+	}
+	list := []model{}
+	for _, m := range s.Fleet.View().Models() {
+		if allowance.MayUseModel(m) {
+			list = append(list, model{ID: m, Object: "model", OwnedBy: "vanillaroute"})
+		}
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
+
+func setRequestHeader(w http.ResponseWriter, id ident.Request) {
+	w.Header().Set(engine.HeaderRequest, string(id))
+}
--- /dev/null
+++ b/connection/callers/server.go
@@ -0,0 +1,192 @@
+package callers
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/limits"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/version/config"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+	"go.uber.org/zap"
+)
+
+const (
+	// MaxBodyBytes is the size above which a caller's body is refused.
+	MaxBodyBytes = 8 << 20
+
+	headerTimeout   = 5 * time.Second
+	maxHeaderBytes  = 32 << 10
+	idleTimeout     = 2 * time.Minute
+	bodyTimeout     = 30 * time.Second
+	errorKindPrefix = "vanillaroute_"
+)
+
+type (
+	// Parts are what callers are served with.
+	Parts struct {
+		Self     ident.Router
+		Settings settings.Settings
+		Log      *zap.Logger
+		Config   *config.State
+		Fleet    *fleet.Fleet
+		Shares   *limits.Shares
+		Relay    *relay.Relay
+		Metrics  *metrics.Metrics
+		Store    store.Store
+		// Once carries out an unrepeatable call at the home of its key.
+		Once func(ctx context.Context, call wire.ServiceCall) wire.ServiceAnswer
+		// Repeatable carries out a call that may be sent again.
+		Repeatable func(ctx context.Context, call wire.ServiceCall) wire.ServiceAnswer
+		// Mint returns an idempotency key that needs no store.
+		Mint func(now time.Time) string
+		// Publish hands committed entries to routers in other failure domains.
+		Publish func(ctx context.Context, entries []wire.Entry) int
+		// Status asks every live router for its state.
+		Status func(ctx context.Context) []wire.StatusReply
+		// Ready reports whether requests can be served.
+		Ready func() bool
+		// Control returns the count of control bytes.
+		Control func() any
+		Point   func(step string, id ident.Request)
+	}
+
+	// Server serves callers and operators.
+	Server struct {
+		Parts
+		mux *http.ServeMux
+	}
+
+	// errorBody is the error object of the published interface, with the outcome added.
+	errorBody struct {
+		Error errorFields `json:"error"`
+	}
+
+	errorFields struct {
+		Message string       `json:"message"`
+		Type    string       `json:"type"`
+		Param   *string      `json:"param"`
+		Code    wire.Code    `json:"code"`
+		Outcome wire.Outcome `json:"outcome"`
+	}
+)
+
+// New returns a server.
+func New(p Parts) *Server {
+	s := &Server{Parts: p, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /v1/chat/completions", s.chat)
+	s.mux.HandleFunc("GET /v1/models", s.models)
+	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
+	s.mux.HandleFunc("POST /v1/keys", s.keys)
+	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.service)
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	s.mux.HandleFunc("GET /readyz", s.readyz)
+	s.mux.HandleFunc("GET /debug/vars", s.vars)
+	s.mux.HandleFunc("GET /admin/lists", s.operator(s.getLists))
+	s.mux.HandleFunc("POST /admin/lists", s.operator(s.applyLists))
+	s.mux.HandleFunc("GET /admin/status", s.operator(s.status))
+	return s
+}
+
+// HTTP returns the HTTP server with its limits on headers and time, to be used with a listener.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+}
+
+// authenticate returns the organisation of the request's key and what its plan allows.
+func (s *Server) authenticate(r *http.Request) (lists.PlanEntry, lists.Allowance, *wire.Refusal) {
+	key, ok := bearer(r)
+	if !ok {
+		return lists.PlanEntry{}, lists.Allowance{}, wire.Refuse(http.StatusUnauthorized, wire.CodeUnauthorised, "expected a key in the Authorization header")
+	}
+	if !s.Config.Ready() {
+		return lists.PlanEntry{}, lists.Allowance{}, wire.Refuse(http.StatusServiceUnavailable, wire.CodeNotReady, "the router has not read the configuration yet")
+	}
+	plan, ok := s.Config.Authenticate(key)
+	if !ok {
+		return lists.PlanEntry{}, lists.Allowance{}, wire.Refuse(http.StatusUnauthorized, wire.CodeUnauthorised, "the key is not known")
+	}
+	allowance, ok := s.Config.Allowance(plan.Plan)
+	if !ok {
+		return lists.PlanEntry{}, lists.Allowance{}, wire.Refuse(http.StatusForbidden, wire.CodeForbidden, "the plan of the organisation has no allowance")
+	}
+	return plan, allowance, nil
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, struct {
+		Requests json.RawMessage `json:"requests"`
+		Control  any             `json:"control"`
+	}{json.RawMessage(s.Metrics.String()), s.Control()})
+}
+
+// operator lets only the holder of the operators' key through.
+func (s *Server) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key, _ := bearer(r)
+		if subtle.ConstantTimeCompare([]byte(lists.HashKey(key)), []byte(s.Settings.Operators.KeyHash)) != 1 {
+			writeRefusal(w, wire.Refuse(http.StatusUnauthorized, wire.CodeUnauthorised, "expected the operators' key in the Authorization header"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+// readBody reads the request's body within its limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *wire.Refusal) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, wire.Refuse(http.StatusRequestEntityTooLarge, wire.CodeTooLarge, "the body is over %d bytes", MaxBodyBytes)
+	}
+	return nil, wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "the body could not be read")
+}
+
+func bearer(r *http.Request) (string, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return key, ok && key != ""
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeRefusal(w http.ResponseWriter, r *wire.Refusal) {
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, r.Status, refusalBody(r))
+}
+
+func refusalBody(r *wire.Refusal) errorBody {
+	return errorBody{errorFields{Message: r.Message, Type: errorKindPrefix + string(r.Outcome), Code: r.Code, Outcome: r.Outcome}}
+}
--- /dev/null
+++ b/connection/callers/service.go
@@ -0,0 +1,104 @@
+package callers
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/service"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+const (
+	maxKeyBytes  = 256
+	serviceClass = ident.Class("service")
+)
+
+// service serves /v1/services/{service}/…: an unrepeatable call needs an idempotency key.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	plan, allowance, refusal := s.authenticate(r)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	call, once, refusal := s.readCall(w, r, plan, allowance)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	s.Point("authenticated", call.Request)
+	if refusal := s.Shares.Take(r.Context(), plan.Organisation, allowance, 0, now); refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	defer func() { s.Shares.Done(plan.Organisation, 0, time.Now()) }()
+	s.Point("limited", call.Request)
+	run := s.Repeatable
+	if once {
+		run = s.Once
+	}
+	answer := run(r.Context(), call)
+	s.Point("answered", call.Request)
+	s.finished(wire.Submit{Request: call.Request, Organisation: plan.Organisation, Class: serviceClass}, "", answer.Refusal, now)
+	setRequestHeader(w, call.Request)
+	if answer.Refusal != nil {
+		writeRefusal(w, answer.Refusal)
+		return
+	}
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+// readCall checks the call, and returns whether it may run only once.
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, plan lists.PlanEntry, allowance lists.Allowance) (wire.ServiceCall, bool, *wire.Refusal) {
+	name := ident.Service(r.PathValue("service"))
+	known, ok := s.Settings.Service(name)
+	if !ok {
+		return wire.ServiceCall{}, false, wire.Refuse(http.StatusNotFound, wire.CodeUnknownService, "no service is named %q", name)
+	}
+	if !allowance.MayUseService(name) {
+		return wire.ServiceCall{}, false, wire.Refuse(http.StatusForbidden, wire.CodeForbidden, "the plan does not include the service %q", name)
+	}
+	body, refusal := readBody(w, r)
+	if refusal != nil {
+		return wire.ServiceCall{}, false, refusal
+	}
+	path := "/" + r.PathValue("path")
+	once := !known.MayRepeat(r.Method, path)
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	call := wire.ServiceCall{
+		Request: ident.NewRequest(), Organisation: plan.Organisation, Service: name, Method: r.Method,
+		Path: path, ContentType: r.Header.Get("Content-Type"), Body: body,
+	}
+	if !once {
+		return call, false, nil
+	}
+	call.Key = r.Header.Get(service.HeaderKey)
+	if call.Key == "" || len(call.Key) > maxKeyBytes {
+		return call, true, wire.Refuse(http.StatusBadRequest, wire.CodeKeyMissing, "expected an Idempotency-Key of 1 to %d bytes, since the call may not repeat", maxKeyBytes)
+	}
+	return call, true, nil
+}
+
+// keys serves POST /v1/keys: a key for an unrepeatable call that needs no store.
+func (s *Server) keys(w http.ResponseWriter, r *http.Request) {
+	if _, _, refusal := s.authenticate(r); refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	key := s.Mint(time.Now())
+	if key == "" {
+		writeRefusal(w, wire.Refuse(http.StatusServiceUnavailable, wire.CodeOverloaded, "too many keys are in use"))
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Key string `json:"key"`
+	}{key})
+}
--- /dev/null
+++ b/connection/engine/dial.go
@@ -0,0 +1,33 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout     = time.Second
+	keepAlivePeriod = 15 * time.Second
+)
+
+var dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+
+// Dial connects to an engine or service, and fails with *DialError.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &DialError{Cause: err}
+	}
+	return conn, nil
+}
+
+func asDialError(err error) error {
+	var dial *DialError
+	if errors.As(err, &dial) {
+		return dial
+	}
+	return &CutError{Cause: err}
+}
--- /dev/null
+++ b/connection/instances/instances.go
@@ -0,0 +1,49 @@
+package instances
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+)
+
+const (
+	timeout      = 2 * time.Second
+	maxListBytes = 32 << 20
+)
+
+// Client reads the list over HTTP.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New returns a client of the list at address, an IP number with a port.
+func New(address string) *Client {
+	return &Client{url: "http://" + address + "/instances", http: &http.Client{Timeout: timeout}}
+}
+
+// List returns the instances, and fails where the list cannot be read.
+func (c *Client) List(ctx context.Context) ([]fleet.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read list of instances")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("list of instances answered %s", resp.Status)
+	}
+	var list []fleet.Instance
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, errors.Wrap(err, "decode list of instances")
+	}
+	return list, nil
+}
--- /dev/null
+++ b/connection/peer/conn.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+)
+
+const (
+	sendQueueFrames   = 1024
+	streamQueueFrames = 256
+	bufferBytes       = 64 << 10
+)
+
+var (
+	// ErrClosed tells that the connection of a stream was lost.
+	ErrClosed = errors.New("connection to peer closed")
+
+	errStreamOverrun = errors.New("peer sent more frames than were acknowledged")
+)
+
+type (
+	// Conn is one connection to a peer, with one reading and one writing task.
+	Conn struct {
+		raw     net.Conn
+		send    chan wire.Frame
+		done    chan struct{}
+		once    sync.Once
+		nextID  atomic.Uint64
+		mu      sync.Mutex
+		streams map[uint64]*Stream
+		accept  func(*Stream, wire.Frame)
+	}
+
+	// Stream is one exchange of frames on a connection.
+	Stream struct {
+		ID     uint64
+		conn   *Conn
+		frames chan wire.Frame
+		done   chan struct{}
+		once   sync.Once
+	}
+)
+
+// newConn wraps a connection; accept runs in a task of its own for each stream that the peer opens.
+func newConn(raw net.Conn, accept func(*Stream, wire.Frame)) *Conn {
+	return &Conn{
+		raw:     raw,
+		send:    make(chan wire.Frame, sendQueueFrames),
+		done:    make(chan struct{}),
+		streams: make(map[uint64]*Stream),
+		accept:  accept,
+	}
+}
+
+// Open starts a stream with its first frame, and fails where the connection is lost.
+func (c *Conn) Open(ctx context.Context, kind wire.Kind, body []byte) (*Stream, error) {
+	s := c.newStream(c.nextID.Add(1))
+	c.mu.Lock()
+	c.streams[s.ID] = s
+	c.mu.Unlock()
+	if err := s.Send(ctx, kind, body); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Post sends a frame that belongs to no stream and is not answered.
+func (c *Conn) Post(ctx context.Context, kind wire.Kind, body []byte) error {
+	return c.enqueue(ctx, wire.Frame{Kind: kind, Body: body})
+}
+
+// Done is closed when the connection is lost.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Close closes the connection and ends its streams.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.raw.Close()
+	})
+}
+
+func (c *Conn) newStream(id uint64) *Stream {
+	return &Stream{ID: id, conn: c, frames: make(chan wire.Frame, streamQueueFrames), done: make(chan struct{})}
+}
+
+func (c *Conn) enqueue(ctx context.Context, f wire.Frame) error {
+	select {
+	case <-c.done:
+		return ErrClosed
+	default:
+	}
+	select {
+	case c.send <- f:
+		return nil
+	case <-c.done:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// writeLoop flushes whenever no more frames wait, so that a busy connection batches by itself.
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	w := bufio.NewWriterSize(c.raw, bufferBytes)
+	for {
+		select {
+		case f := <-c.send:
+			if err := c.writeBatch(w, f); err != nil {
+				return
+			}
+		case <-c.done:
+			return
+		}
+	}
+}
+
+func (c *Conn) writeBatch(w *bufio.Writer, f wire.Frame) error {
+	for {
+		if err := wire.Write(w, f); err != nil {
+			return err
+		}
+		select {
+		case f = <-c.send:
+			continue
+		default:
+			return w.Flush()
+		}
+	}
+}
+
+// readLoop reads until the connection is lost; the side that dialled accepts no streams.
+func (c *Conn) readLoop() error {
+	defer c.Close()
+	r := bufio.NewReaderSize(c.raw, bufferBytes)
+	for {
+		f, err := wire.Read(r)
+		if err != nil {
+			return err
+		}
+		if err := c.dispatch(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) dispatch(f wire.Frame) error {
+	c.mu.Lock()
+	s, known := c.streams[f.Stream]
+	opens := f.Kind == wire.KindSubmit || f.Kind == wire.KindCall || f.Kind == wire.KindGossip
+	if !known && opens && c.accept != nil {
+		s = c.newStream(f.Stream)
+		if f.Stream != 0 {
+			c.streams[f.Stream] = s
+		}
+		c.mu.Unlock()
+		go c.serve(s, f)
+		return nil
+	}
+	c.mu.Unlock()
+	if !known {
+		return nil
+	}
+	select {
+	case s.frames <- f:
+		return nil
+	case <-s.done:
+		return nil
+	default:
+		return errStreamOverrun
+	}
+}
+
+func (c *Conn) serve(s *Stream, f wire.Frame) {
+	defer s.Close()
+	c.accept(s, f)
+}
+
+// Send queues a frame of the stream, and fails where the connection is lost.
+func (s *Stream) Send(ctx context.Context, kind wire.Kind, body []byte) error {
+	return s.conn.enqueue(ctx, wire.Frame{Kind: kind, Stream: s.ID, Body: body})
+}
+
+// Receive returns the next frame, and fails with ErrClosed where the connection is lost.
+func (s *Stream) Receive(ctx context.Context) (wire.Frame, error) {
+	select {
+	case f := <-s.frames:
+		return f, nil
+	default:
+	}
+	select {
+	case f := <-s.frames:
+		return f, nil
+	case <-s.conn.done:
+		return s.drained()
+	case <-ctx.Done():
+		return wire.Frame{}, ctx.Err()
+	}
+}
+
+// Close forgets the stream; frames that still arrive for it are dropped.
+func (s *Stream) Close() {
+	s.once.Do(func() {
+		close(s.done)
+		s.conn.mu.Lock()
+		delete(s.conn.streams, s.ID)
+		s.conn.mu.Unlock()
+	})
+}
+
+// drained returns what arrived before the connection was lost.
+func (s *Stream) drained() (wire.Frame, error) {
+	select {
+	case f := <-s.frames:
+		return f, nil
+	default:
+		return wire.Frame{}, ErrClosed
+	}
+}
--- /dev/null
+++ b/connection/peer/pool.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	handshakeTimeout = 2 * time.Second
+	keepAlivePeriod  = 2 * time.Second
+)
+
+type (
+	// Identity is what a router tells its peers of itself, with its TLS configuration if peers use TLS.
+	Identity struct {
+		Router      ident.Router
+		Incarnation ident.Incarnation
+		TLS         *tls.Config
+	}
+
+	// Directory finds the address of a router, and reports whether it is known.
+	Directory func(ident.Router) (address string, known bool)
+
+	// Pool keeps one connection to each peer that was called, and dials again after a loss.
+	Pool struct {
+		self      Identity
+		directory Directory
+		mu        sync.Mutex
+		slots     map[ident.Router]*slot
+		closed    bool
+	}
+
+	slot struct {
+		mu   sync.Mutex
+		conn *Conn
+	}
+
+	// UnreachableError tells that no connection to a router could be made, so that nothing was sent.
+	UnreachableError struct {
+		Router ident.Router
+		Cause  error
+	}
+
+	// Handler serves one stream that a peer opened, from its first frame.
+	Handler func(ctx context.Context, from ident.Router, s *Stream, first wire.Frame)
+)
+
+// Error names the router and the cause.
+func (e *UnreachableError) Error() string {
+	return "router " + string(e.Router) + " unreachable: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// NewPool returns a pool without connections.
+func NewPool(self Identity, directory Directory) *Pool {
+	return &Pool{self: self, directory: directory, slots: make(map[ident.Router]*slot)}
+}
+
+// Conn returns a live connection to the router, and fails with *UnreachableError.
+func (p *Pool) Conn(ctx context.Context, to ident.Router) (*Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, &UnreachableError{Router: to, Cause: ErrClosed}
+	}
+	s, ok := p.slots[to]
+	if !ok {
+		s = &slot{}
+		p.slots[to] = s
+	}
+	p.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && !s.conn.lost() {
+		return s.conn, nil
+	}
+	conn, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, &UnreachableError{Router: to, Cause: err}
+	}
+	s.conn = conn
+	return conn, nil
+}
+
+// Call sends a call and waits for its reply; the error is *UnreachableError only where nothing was sent.
+func (p *Pool) Call(ctx context.Context, to ident.Router, call wire.Call) (wire.Reply, error) {
+	conn, err := p.Conn(ctx, to)
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	s, err := conn.Open(ctx, wire.KindCall, wire.Encode(call))
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	defer s.Close()
+	f, err := s.Receive(ctx)
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	return wire.Decode[wire.Reply](f.Body)
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	slots := p.slots
+	p.slots = make(map[ident.Router]*slot)
+	p.mu.Unlock()
+	for _, s := range slots {
+		s.mu.Lock()
+		if s.conn != nil {
+			s.conn.Close()
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (c *Conn) lost() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, to ident.Router) (*Conn, error) {
+	address, known := p.directory(to)
+	if !known {
+		return nil, errors.New("router is not in the list of instances")
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := net.Dialer{KeepAlive: keepAlivePeriod}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	if p.self.TLS != nil {
+		secured := tls.Client(raw, p.self.TLS)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, errors.Wrap(err, "tls handshake")
+		}
+		raw = secured
+	}
+	conn := newConn(raw, nil)
+	hello := wire.Frame{Kind: wire.KindHello, Body: wire.Encode(wire.Hello{Router: p.self.Router, Incarnation: p.self.Incarnation})}
+	if err := wire.Write(raw, hello); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	go conn.writeLoop()
+	go func() { _ = conn.readLoop() }()
+	return conn, nil
+}
+
+// Serve accepts connections of peers until the listener is closed, and ends their connections with ctx.
+func Serve(ctx context.Context, ln net.Listener, self Identity, handle Handler) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "accept peer")
+		}
+		group.Go(func() { serveConn(ctx, raw, self, handle) })
+	}
+}
+
+func serveConn(ctx context.Context, raw net.Conn, self Identity, handle Handler) {
+	if self.TLS != nil {
+		raw = tls.Server(raw, self.TLS)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	_ = raw.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	first, err := wire.Read(raw)
+	if err != nil || first.Kind != wire.KindHello {
+		_ = raw.Close()
+		return
+	}
+	hello, err := wire.Decode[wire.Hello](first.Body)
+	if err != nil {
+		_ = raw.Close()
+		return
+	}
+	_ = raw.SetReadDeadline(time.Time{})
+	conn := newConn(raw, func(s *Stream, f wire.Frame) { handle(ctx, hello.Router, s, f) })
+	go conn.writeLoop()
+	_ = conn.readLoop()
+}
--- /dev/null
+++ b/connection/service/service.go
@@ -0,0 +1,96 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+)
+
+const (
+	// HeaderKey carries the idempotency key of a call.
+	HeaderKey = "Idempotency-Key"
+	// HeaderNotRun marks an instance's own refusal of a call that it did not run.
+	HeaderNotRun = "X-Not-Run"
+
+	callTimeout    = 30 * time.Second
+	maxAnswerBytes = 8 << 20
+)
+
+type (
+	// Client sends calls to the instances of plain services.
+	Client struct {
+		http *http.Client
+	}
+
+	// NotRunError tells that an instance was not reached or refused the call without running it.
+	NotRunError struct{ Cause error }
+
+	// LostError tells that a call was sent and its answer was lost.
+	LostError struct{ Cause error }
+
+	// onceBody cannot be read again, so that the transport cannot send a call twice.
+	onceBody struct{ *bytes.Reader }
+)
+
+// Error names the cause.
+func (e *NotRunError) Error() string { return "call not run: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotRunError) Unwrap() error { return e.Cause }
+
+// Error names the cause.
+func (e *LostError) Error() string { return "answer lost: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// New returns a client.
+func New() *Client {
+	return &Client{http: &http.Client{
+		Transport:     engine.NewTransport(),
+		Timeout:       callTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Call sends a call once to the instance at address; it fails with *NotRunError or *LostError.
+func (c *Client) Call(ctx context.Context, address string, call wire.ServiceCall) (wire.ServiceAnswer, error) {
+	body := onceBody{bytes.NewReader(call.Body)}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, io.NopCloser(body))
+	if err != nil {
+		return wire.ServiceAnswer{}, &NotRunError{Cause: err}
+	}
+	req.ContentLength = int64(len(call.Body))
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	req.Header.Set(engine.HeaderRequest, string(call.Request))
+	if call.Key != "" {
+		req.Header.Set(HeaderKey, call.Key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var dial *engine.DialError
+		if errors.As(err, &dial) {
+			return wire.ServiceAnswer{}, &NotRunError{Cause: err}
+		}
+		return wire.ServiceAnswer{}, &LostError{Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return wire.ServiceAnswer{}, &LostError{Cause: err}
+	case len(answer) > maxAnswerBytes:
+		return wire.ServiceAnswer{}, &LostError{Cause: errors.New("answer too large")}
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true":
+		return wire.ServiceAnswer{}, &NotRunError{Cause: errors.New("instance refused the call")}
+	}
+	return wire.ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: answer}, nil
+}
--- /dev/null
+++ b/connection/store/store.go
@@ -0,0 +1,288 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	callTimeout    = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+	pageEntries    = 1000
+	maxTxnOps      = 100
+)
+
+type (
+	// Store is what the routers use of the platform's key-value service.
+	Store interface {
+		// List returns the entries under a prefix and the revision that they are of.
+		List(ctx context.Context, prefix string) ([]Entry, ident.Revision, error)
+		// Get returns one entry; an entry that does not exist has revision 0.
+		Get(ctx context.Context, key string) (Entry, error)
+		// Commit carries out a transaction; its error is *UnknownError where it may have taken effect.
+		Commit(ctx context.Context, t Txn) (Result, error)
+		// Grant creates a lease.
+		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+		// KeepAlive renews a lease, and returns ErrLeaseLost where it has ended.
+		KeepAlive(ctx context.Context, id Lease) error
+		// Watch passes on the changes under a prefix from a revision on, until ctx ends or the watch breaks.
+		Watch(ctx context.Context, prefix string, from ident.Revision, changes func([]Change)) error
+	}
+
+	// Lease identifies a lease of the store.
+	Lease int64
+
+	// Entry is a key with its value and the revision of its last change.
+	Entry struct {
+		Key      string
+		Value    []byte
+		Revision ident.Revision
+	}
+
+	// Change is an entry that was written, or deleted where Deleted is set.
+	Change struct {
+		Entry
+		Deleted bool
+	}
+
+	// Condition must hold for a transaction: the entry's last change is of Revision, 0 for none.
+	Condition struct {
+		Key      string
+		Revision ident.Revision
+	}
+
+	// Put writes a value, or deletes the key where Delete is set.
+	Put struct {
+		Key    string
+		Value  []byte
+		Lease  Lease
+		Delete bool
+	}
+
+	// Txn writes all its puts if all its conditions hold, and otherwise reads the conditions' keys.
+	Txn struct {
+		Conditions []Condition
+		Puts       []Put
+	}
+
+	// Result tells whether the conditions held, and if not, what the entries are.
+	Result struct {
+		Held     bool
+		Revision ident.Revision
+		Found    []Entry
+	}
+
+	// UnknownError tells that a call was sent and its answer was lost.
+	UnknownError struct{ Cause error }
+
+	// UnavailableError tells that a call was not carried out.
+	UnavailableError struct{ Cause error }
+
+	// Client is a Store over HTTP.
+	Client struct {
+		base string
+		http *http.Client
+	}
+)
+
+var (
+	// ErrLeaseLost tells that a lease has ended.
+	ErrLeaseLost = errors.New("lease lost")
+
+	_ Store = (*Client)(nil)
+)
+
+// Error names the cause.
+func (e *UnknownError) Error() string { return "answer of the store lost: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Error names the cause.
+func (e *UnavailableError) Error() string { return "store unavailable: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// New returns a client of the store at address, an IP number with a port.
+func New(address string) *Client {
+	transport := &http.Transport{DialContext: engine.Dial, MaxIdleConnsPerHost: 16, DisableCompression: true}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// List reads the entries under a prefix page by page.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, ident.Revision, error) {
+	var all []Entry
+	var revision ident.Revision
+	start := prefix
+	for {
+		req := rangeRequest{Key: []byte(start), RangeEnd: prefixEnd(prefix), Limit: pageEntries, Revision: int64(revision)}
+		var resp rangeResponse
+		if err := c.call(ctx, "/v3/kv/range", req, &resp); err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = ident.Revision(resp.Header.Revision)
+		}
+		for _, kv := range resp.Kvs {
+			all = append(all, kv.entry())
+		}
+		if !resp.More || len(resp.Kvs) == 0 {
+			return all, revision, nil
+		}
+		start = string(resp.Kvs[len(resp.Kvs)-1].Key) + "\x00"
+	}
+}
+
+// Get reads one entry.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var resp rangeResponse
+	if err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &resp); err != nil {
+		return Entry{}, err
+	}
+	if len(resp.Kvs) == 0 {
+		return Entry{Key: key}, nil
+	}
+	return resp.Kvs[0].entry(), nil
+}
+
+// Commit carries out a transaction.
+func (c *Client) Commit(ctx context.Context, t Txn) (Result, error) {
+	var req txnRequest
+	for _, cond := range t.Conditions {
+		req.Compare = append(req.Compare, compare{Key: []byte(cond.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(cond.Revision)})
+		req.Failure = append(req.Failure, operation{Range: &rangeRequest{Key: []byte(cond.Key)}})
+	}
+	for _, p := range t.Puts {
+		if p.Delete {
+			req.Success = append(req.Success, operation{Delete: &deleteRequest{Key: []byte(p.Key)}})
+			continue
+		}
+		req.Success = append(req.Success, operation{Put: &putRequest{Key: []byte(p.Key), Value: p.Value, Lease: int64(p.Lease)}})
+	}
+	if len(req.Success) > maxTxnOps || len(req.Compare) > maxTxnOps {
+		return Result{}, errors.Errorf("transaction of more than %d operations", maxTxnOps)
+	}
+	var resp txnResponse
+	if err := c.call(ctx, "/v3/kv/txn", req, &resp); err != nil {
+		return Result{}, err
+	}
+	result := Result{Held: resp.Succeeded, Revision: ident.Revision(resp.Header.Revision)}
+	for _, r := range resp.Responses {
+		if r.Range == nil {
+			continue
+		}
+		for _, kv := range r.Range.Kvs {
+			result.Found = append(result.Found, kv.entry())
+		}
+	}
+	return result, nil
+}
+
+// Grant creates a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var resp leaseResponse
+	if err := c.call(ctx, "/v3/lease/grant", leaseRequest{TTL: int64(ttl / time.Second)}, &resp); err != nil {
+		return 0, err
+	}
+	return Lease(resp.ID), nil
+}
+
+// KeepAlive renews a lease.
+func (c *Client) KeepAlive(ctx context.Context, id Lease) error {
+	var resp struct {
+		Result leaseResponse `json:"result"`
+	}
+	if err := c.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: int64(id)}, &resp); err != nil {
+		return err
+	}
+	if resp.Result.TTL <= 0 {
+		return ErrLeaseLost
+	}
+	return nil
+}
+
+// Watch passes on changes in the order of their revisions.
+func (c *Client) Watch(ctx context.Context, prefix string, from ident.Revision, changes func([]Change)) error {
+	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: int64(from)}}
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode watch")
+	}
+	resp, err := c.post(ctx, "/v3/watch", body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	messages := json.NewDecoder(resp.Body)
+	for {
+		var m watchMessage
+		if err := messages.Decode(&m); err != nil {
+			return &UnavailableError{Cause: errors.Wrap(err, "watch")}
+		}
+		if m.Result.Canceled {
+			return &UnavailableError{Cause: errors.New("watch cancelled by the store")}
+		}
+		if list := m.changes(); len(list) > 0 {
+			changes(list)
+		}
+	}
+}
+
+func (c *Client) call(ctx context.Context, path string, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode call")
+	}
+	answer, err := c.post(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(resp); err != nil {
+		return &UnknownError{Cause: err}
+	}
+	return nil
+}
+
+// post sends a call; a transaction is never sent twice by the transport, since its body cannot be read again.
+func (c *Client) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build call")
+	}
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var dial *engine.DialError
+		if errors.As(err, &dial) {
+			return nil, &UnavailableError{Cause: dial}
+		}
+		return nil, &UnknownError{Cause: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		err := errors.Errorf("store answered %s", resp.Status)
+		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+			return nil, &UnavailableError{Cause: err}
+		}
+		return nil, &UnknownError{Cause: err}
+	}
+	return resp, nil
+}
+
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	end[len(end)-1]++
+	return end
+}
--- /dev/null
+++ b/connection/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire defines the frames between routers and the messages that they carry, encoded as msgpack.
+package wire
--- /dev/null
+++ b/connection/wire/message.go
@@ -0,0 +1,308 @@
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// Outcomes that an error names towards the caller.
+const (
+	// NotRun says that no engine and no service was handed the request.
+	NotRun Outcome = "notRun"
+	// OutcomeUnknown says that the request may have run and will not be run again.
+	OutcomeUnknown Outcome = "outcomeUnknown"
+	// Failed says that the request was handed over and ended without an answer.
+	Failed Outcome = "failed"
+)
+
+// Codes that an error carries towards the caller.
+const (
+	CodeBadRequest      Code = "invalid_request"
+	CodeTooLarge        Code = "request_too_large"
+	CodeUnauthorised    Code = "invalid_api_key"
+	CodeForbidden       Code = "not_allowed"
+	CodeUnknownModel    Code = "model_not_found"
+	CodeUnknownService  Code = "service_not_found"
+	CodeLimit           Code = "rate_limit_exceeded"
+	CodeOverloaded      Code = "overloaded"
+	CodeNoEngine        Code = "no_engine"
+	CodeSuspect         Code = "suspect_request"
+	CodeKeyMissing      Code = "idempotency_key_missing"
+	CodeKeyReused       Code = "idempotency_key_reused"
+	CodeKeyExpired      Code = "idempotency_key_expired"
+	CodeStore           Code = "store_unavailable"
+	CodeUnknown         Code = "outcome_unknown"
+	CodeEngine          Code = "engine_failed"
+	CodeNotHome         Code = "not_home"
+	CodeOverBound       Code = "over_bound"
+	CodeLeaving         Code = "leaving"
+	CodeStreamNotFound  Code = "stream_not_found"
+	CodePeerUnreachable Code = "peer_unreachable"
+	CodeNotReady        Code = "not_ready"
+)
+
+type (
+	// Outcome says what became of a request that has no answer.
+	Outcome string
+
+	// Code names the cause of a refusal or failure.
+	Code string
+
+	// Refusal is the reason why a request has no answer, as it travels between routers and to the caller.
+	Refusal struct {
+		Status     int
+		Code       Code
+		Message    string
+		Outcome    Outcome
+		RetryAfter time.Duration
+		// Spilled names the engine that holds the chat's prefix since an earlier refusal, if any.
+		Spilled ident.Engine
+		// Crashed names the engines that the request crashed, where that is the reason.
+		Crashed []ident.Engine
+		// Load is the refusing home's own load, so that the next home decides on fresh sums.
+		Load []RouterSum
+	}
+
+	// RouterSum is the load of one model at one router.
+	RouterSum struct {
+		Router ident.Router
+		Sum    ModelSum
+	}
+
+	// Hello opens a connection between two routers.
+	Hello struct {
+		Router      ident.Router
+		Incarnation ident.Incarnation
+	}
+
+	// Submit hands a request to the home router of an engine, or asks to resume one.
+	Submit struct {
+		Request      ident.Request
+		Organisation ident.Organisation
+		Class        ident.Class
+		Chat         ident.Chat
+		Model        ident.Model
+		Engine       ident.Engine
+		Stream       bool
+		Body         []byte
+		// From is the offset of the first event that is wanted.
+		From int
+		// Received is the text that the caller already has, for continuing on another engine.
+		Received string
+		// Attached asks only to resume a run that this home still holds.
+		Attached bool
+		// SpillTried says that the engine which the chat spilled to was asked already.
+		SpillTried bool
+		// LastChoice asks the home to queue the request where it would redirect it.
+		LastChoice bool
+		// Crashed names the engines that the request is known to have crashed.
+		Crashed []ident.Engine
+		// Loads are the loads of the homes that refused before.
+		Loads []RouterSum
+		// Waited is the time in which the request has been held by other routers.
+		Waited time.Duration
+	}
+
+	// Events carries consecutive events of a stream.
+	Events struct {
+		First int
+		Items [][]byte
+	}
+
+	// End closes a stream, with a refusal where there is no whole answer.
+	End struct {
+		Status  int
+		Total   int
+		Refusal *Refusal
+	}
+
+	// Ack tells how many events the receiver has passed on.
+	Ack struct {
+		Passed int
+	}
+
+	// Cancel ends reading a stream, and stops its run where Stop is set.
+	Cancel struct {
+		Stop bool
+	}
+
+	// ServiceCall hands an unrepeatable call to the home router of its key.
+	ServiceCall struct {
+		Request      ident.Request
+		Organisation ident.Organisation
+		Service      ident.Service
+		Method       string
+		Path         string
+		ContentType  string
+		Key          string
+		Body         []byte
+	}
+
+	// ServiceAnswer is the answer to a service call, or its refusal.
+	ServiceAnswer struct {
+		Status      int
+		ContentType string
+		Body        []byte
+		Refusal     *Refusal
+	}
+
+	// ShareAsk asks an organisation's home router for a share of its limits.
+	ShareAsk struct {
+		Router       ident.Router
+		Organisation ident.Organisation
+		Requests     float64
+		Tokens       float64
+		Running      int
+	}
+
+	// ShareGrant lends a share of an organisation's limits until it expires.
+	ShareGrant struct {
+		Requests    float64
+		Tokens      float64
+		Concurrency int
+		Valid       time.Duration
+	}
+
+	// Member is what one router says of another.
+	Member struct {
+		Router      ident.Router
+		Incarnation ident.Incarnation
+		State       uint8
+	}
+
+	// ModelSum is one router's own load of one model.
+	ModelSum struct {
+		Model   ident.Model
+		Running int
+		Engines int
+		// GapMicros is the median time between tokens on the router's engines.
+		GapMicros int64
+	}
+
+	// Entry is one entry of the two lists with its revision; an entry without a value was deleted.
+	Entry struct {
+		Key      string
+		Value    []byte
+		Revision ident.Revision
+	}
+
+	// Digest summarises the configuration of a router for comparison.
+	Digest struct {
+		Highest ident.Revision
+		Sum     uint64
+	}
+
+	// EngineMark tells that an engine is leaving.
+	EngineMark struct {
+		Engine  ident.Engine
+		Leaving bool
+		Age     time.Duration
+	}
+
+	// Suspect counts the engines that crashed while they ran a request's body.
+	Suspect struct {
+		Fingerprint uint64
+		Engines     []ident.Engine
+	}
+
+	// Gossip is a heartbeat with what is worth repeating.
+	Gossip struct {
+		From        ident.Router
+		Incarnation ident.Incarnation
+		Leaving     bool
+		Members     []Member
+		Sums        []ModelSum
+		Digest      Digest
+		Entries     []Entry
+		Marks       []EngineMark
+		Suspects    []Suspect
+	}
+
+	// ProbeAsk asks a router to reach another on the sender's behalf.
+	ProbeAsk struct {
+		Target ident.Router
+	}
+
+	// ProbeReply tells whether the target was reached.
+	ProbeReply struct {
+		Reached bool
+	}
+
+	// EntriesAsk asks for the entries of some buckets that are newer than the asker's.
+	EntriesAsk struct {
+		Buckets []uint8
+		Sums    []uint64
+		// Known holds the revision of each entry that the asker has in those buckets.
+		Known []Entry
+	}
+
+	// EntriesReply carries the newer entries, and the sums of all buckets where those were asked for.
+	EntriesReply struct {
+		Ready   bool
+		Sums    []uint64
+		Entries []Entry
+	}
+
+	// PublishAsk hands committed entries to a router that must keep them.
+	PublishAsk struct {
+		Entries []Entry
+	}
+
+	// SpillNote tells the home of an engine where a chat went that it refused.
+	SpillNote struct {
+		From ident.Engine
+		To   ident.Engine
+		Chat ident.Chat
+	}
+
+	// StatusReply is what one router knows of itself.
+	StatusReply struct {
+		Router   ident.Router
+		Ready    bool
+		Leaving  bool
+		Revision ident.Revision
+		Sum      uint64
+		Engines  []EngineStatus
+	}
+
+	// EngineStatus is what the home of an engine knows of it.
+	EngineStatus struct {
+		Engine  ident.Engine
+		Home    ident.Router
+		Running int
+		Queued  int
+		Weight  float64
+		Leaving bool
+	}
+
+	// Call is a request between routers with one reply; exactly one field is set.
+	Call struct {
+		Service *ServiceCall `msgpack:",omitempty"`
+		Share   *ShareAsk    `msgpack:",omitempty"`
+		Probe   *ProbeAsk    `msgpack:",omitempty"`
+		Entries *EntriesAsk  `msgpack:",omitempty"`
+		Publish *PublishAsk  `msgpack:",omitempty"`
+		Spill   *SpillNote   `msgpack:",omitempty"`
+		Status  bool         `msgpack:",omitempty"`
+	}
+
+	// Reply answers a call; exactly one field is set.
+	Reply struct {
+		Service *ServiceAnswer `msgpack:",omitempty"`
+		Share   *ShareGrant    `msgpack:",omitempty"`
+		Probe   *ProbeReply    `msgpack:",omitempty"`
+		Entries *EntriesReply  `msgpack:",omitempty"`
+		Status  *StatusReply   `msgpack:",omitempty"`
+		Refusal *Refusal       `msgpack:",omitempty"`
+	}
+)
+
+// Error names the code and message of the refusal.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Code, r.Message) }
+
+// Refuse returns a refusal that nothing was handed over for.
+func Refuse(status int, code Code, format string, args ...any) *Refusal {
+	return &Refusal{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Outcome: NotRun}
+}
--- /dev/null
+++ b/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident holds the named types for the identifiers that travel between routers, engines and callers.
+package ident
--- /dev/null
+++ b/process/home/attempt.go
@@ -0,0 +1,238 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/request/run"
+)
+
+const (
+	resumeTries   = 2
+	resumeSpacing = 50 * time.Millisecond
+	prioShort     = 10
+	prioLong      = 0
+	statusClosed  = 499
+)
+
+// run carries one request through the engine to its end.
+func (e *Engine) run(r *run.Run) {
+	e.set.point("sent", r.Submit.Request)
+	err := e.call(r)
+	now := time.Now()
+	end := e.classify(r, err, now)
+	if err != nil && mayStillRun(err) {
+		e.stop(r)
+	}
+	e.finish(r, end, time.Now())
+}
+
+// call streams the answer, resuming at the engine where it holds the stream already.
+func (e *Engine) call(r *run.Run) error {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	stall := time.AfterFunc(e.set.policy.FirstTokenTimeout.Std(), func() { cancel(errStalled) })
+	defer stall.Stop()
+	event := func(data []byte) {
+		stall.Reset(e.set.policy.StallTimeout.Std())
+		e.noteEvent(r, time.Now())
+		r.Append(data)
+		e.set.point("event", r.Submit.Request)
+	}
+	err := e.first(ctx, r, event)
+	for range resumeTries {
+		var cut *engine.CutError
+		if !r.Submit.Stream || !errors.As(err, &cut) || ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-time.After(resumeSpacing):
+		case <-ctx.Done():
+		}
+		if again := e.client.Resume(ctx, r.Submit.Request, r.Next(), event); again == nil || errors.As(again, &cut) {
+			err = again
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil && err != nil {
+		return cause
+	}
+	return err
+}
+
+func (e *Engine) first(ctx context.Context, r *run.Run, event func([]byte)) error {
+	if r.Submit.From > 0 {
+		err := e.client.Resume(ctx, r.Submit.Request, r.Submit.From, event)
+		var status *engine.StatusError
+		if !errors.As(err, &status) {
+			return err
+		}
+	}
+	body, err := continued(r.Submit)
+	if err != nil {
+		return err
+	}
+	call := engine.Call{Request: r.Submit.Request, Priority: e.priority(r), Stream: r.Submit.Stream, Body: body, From: r.Submit.From}
+	return e.client.Stream(ctx, call, event)
+}
+
+func (e *Engine) priority(r *run.Run) int {
+	if e.set.policy.Class(r.Submit.Class).Long {
+		return prioLong
+	}
+	return prioShort
+}
+
+// continued adds the text that the caller has already to the body, as the start of the assistant's message.
+func continued(s wire.Submit) ([]byte, error) {
+	if s.From == 0 || s.Received == "" {
+		return s.Body, nil
+	}
+	var body map[string]json.RawMessage
+	if err := json.Unmarshal(s.Body, &body); err != nil {
+		return nil, errors.Wrap(err, "continue body")
+	}
+	var messages []json.RawMessage
+	if err := json.Unmarshal(body["messages"], &messages); err != nil {
+		return nil, errors.Wrap(err, "continue messages")
+	}
+	partial, err := json.Marshal(struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{"assistant", s.Received})
+	if err != nil {
+		return nil, errors.Wrap(err, "continue messages")
+	}
+	body["messages"], err = json.Marshal(append(messages, partial))
+	if err != nil {
+		return nil, errors.Wrap(err, "continue messages")
+	}
+	body["continue_final_message"] = json.RawMessage("true")
+	body["add_generation_prompt"] = json.RawMessage("false")
+	return json.Marshal(body)
+}
+
+// noteEvent measures the time between tokens, which shows a slow engine before its reports do.
+func (e *Engine) noteEvent(r *run.Run, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, ok := e.active[r]
+	if !ok {
+		return
+	}
+	first := a.last.Equal(a.started)
+	gap := now.Sub(a.last)
+	a.last = now
+	if first {
+		return
+	}
+	e.gapNanos.Store(int64(smooth(time.Duration(e.gapNanos.Load()), gap)))
+}
+
+// classify turns the error of an attempt into what the entry is told.
+func (e *Engine) classify(r *run.Run, err error, now time.Time) wire.End {
+	if err == nil {
+		e.set.suspects.Cleared(r.Fingerprint)
+		return wire.End{Status: http.StatusOK}
+	}
+	var dial *engine.DialError
+	var status *engine.StatusError
+	switch {
+	case errors.As(err, &dial):
+		e.set.fleet.EngineDown(e.id, now)
+		return wire.End{Refusal: wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s cannot be reached", e.id)}
+	case errors.As(err, &status):
+		return wire.End{Refusal: refusalOf(status)}
+	case errors.Is(err, errStalled):
+		return wire.End{Refusal: failed("engine %s stopped answering", string(e.id))}
+	case r.Context().Err() != nil:
+		return wire.End{Refusal: &wire.Refusal{Status: statusClosed, Code: wire.CodeBadRequest, Message: "cancelled", Outcome: wire.Failed}}
+	default:
+		e.noteCut(now)
+		refusal := failed("engine %s lost the request", string(e.id))
+		refusal.Crashed = e.set.suspects.Engines(r.Fingerprint)
+		return wire.End{Refusal: refusal}
+	}
+}
+
+// noteCut asks a lost engine for its report; where it has none, all that it ran becomes suspect.
+func (e *Engine) noteCut(now time.Time) {
+	if _, err := e.client.Load(e.set.ctx); err == nil {
+		return
+	}
+	e.set.fleet.EngineDown(e.id, now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for r := range e.active {
+		e.set.suspects.Crashed(r.Fingerprint, e.id, now)
+	}
+}
+
+// stop cancels what the engine may still run; the slot stays taken until the engine has answered.
+func (e *Engine) stop(r *run.Run) {
+	_ = e.client.Cancel(context.WithoutCancel(r.Context()), r.Submit.Request)
+}
+
+func (e *Engine) finish(r *run.Run, end wire.End, now time.Time) {
+	e.mu.Lock()
+	delete(e.active, r)
+	if end.Refusal == nil {
+		e.lengths.learn(r.Submit.Organisation, r.Submit.Class, float64(r.Next()))
+	}
+	e.dispatch(now)
+	e.mu.Unlock()
+	if end.Refusal != nil && end.Refusal.Outcome == wire.NotRun {
+		e.set.runs.Remove(r)
+	}
+	r.Finish(end, now)
+	r.Cancel()
+}
+
+// refusalOf passes the engine's own refusal on: a 503 or 429 says that it did not run the request.
+func refusalOf(status *engine.StatusError) *wire.Refusal {
+	switch {
+	case status.Status == http.StatusServiceUnavailable || status.Status == http.StatusTooManyRequests:
+		return wire.Refuse(status.Status, wire.CodeNoEngine, "the engine refused the request")
+	case status.Status < http.StatusInternalServerError:
+		return &wire.Refusal{Status: status.Status, Code: wire.CodeBadRequest, Message: engineMessage(status.Body), Outcome: wire.Failed}
+	default:
+		return failed("the engine answered %s", http.StatusText(status.Status))
+	}
+}
+
+func engineMessage(body []byte) string {
+	var answer struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(body, &answer) == nil && answer.Error.Message != "" {
+		return answer.Error.Message
+	}
+	return string(bytes.ToValidUTF8(body[:min(len(body), 200)], nil))
+}
+
+func failed(format, arg string) *wire.Refusal {
+	refusal := wire.Refuse(http.StatusBadGateway, wire.CodeEngine, format, arg)
+	refusal.Outcome = wire.Failed
+	return refusal
+}
+
+// mayStillRun reports whether the engine may go on with a request that ended with the error.
+func mayStillRun(err error) bool {
+	var dial *engine.DialError
+	var status *engine.StatusError
+	return !errors.As(err, &dial) && !errors.As(err, &status)
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(smoothing*float64(sample-old))
+}
--- /dev/null
+++ b/process/home/set.go
@@ -0,0 +1,246 @@
+package home
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/sums"
+)
+
+type (
+	// Point is called where a request passes a step, so that tests can cause a fault there.
+	Point func(step string, id ident.Request)
+
+	// Parts are what the homes of a router share with the rest of it.
+	Parts struct {
+		Self     ident.Router
+		Policy   settings.Routing
+		Fleet    *fleet.Fleet
+		Sums     *sums.Table
+		Suspects *suspects.Table
+		Metrics  *metrics.Metrics
+		Point    Point
+	}
+
+	// Set holds the engines whose home this router is, and those that it was the home of until their work ends.
+	Set struct {
+		self      ident.Router
+		policy    settings.Routing
+		fleet     *fleet.Fleet
+		sums      *sums.Table
+		suspects  *suspects.Table
+		metrics   *metrics.Metrics
+		runs      *run.Table
+		point     Point
+		transport http.RoundTripper
+		ctx       context.Context
+		tasks     sync.WaitGroup
+
+		mu      sync.Mutex
+		engines map[ident.Engine]*Engine
+		// index is read without a lock, since an engine asks for its model's load under its own lock.
+		index atomic.Pointer[modelIndex]
+	}
+
+	modelIndex map[ident.Model][]*Engine
+)
+
+// NewSet returns an empty set whose work ends with ctx.
+func NewSet(ctx context.Context, p Parts) *Set {
+	s := &Set{
+		self: p.Self, policy: p.Policy, fleet: p.Fleet, sums: p.Sums, suspects: p.Suspects, metrics: p.Metrics,
+		runs: run.NewTable(), point: p.Point, transport: engine.NewTransport(), ctx: ctx,
+		engines: make(map[ident.Engine]*Engine),
+	}
+	s.index.Store(&modelIndex{})
+	return s
+}
+
+// Submit takes a request for an engine, or attaches to the run that this home has of it.
+func (s *Set) Submit(submit wire.Submit, now time.Time) (*run.Run, *wire.Refusal) {
+	if r, ok := s.runs.Find(submit.Request, submit.From); ok && r.Submit.Organisation == submit.Organisation {
+		r.Attach()
+		return r, nil
+	}
+	if submit.Attached {
+		return nil, wire.Refuse(http.StatusNotFound, wire.CodeStreamNotFound, "this router does not hold the stream")
+	}
+	e, refusal := s.home(submit.Engine)
+	if refusal != nil {
+		return nil, refusal
+	}
+	for _, l := range submit.Loads {
+		s.sums.Update(l.Router, []wire.ModelSum{l.Sum}, now)
+	}
+	fingerprint := suspects.Fingerprint(submit.Organisation, submit.Body)
+	for _, c := range submit.Crashed {
+		s.suspects.Crashed(fingerprint, c, now)
+	}
+	r := run.New(s.ctx, submit, fingerprint, now)
+	r.Attach()
+	if refusal := e.admit(r, now); refusal != nil {
+		r.Cancel()
+		refusal.Load = append(slices.Clone(submit.Loads), wire.RouterSum{Router: s.self, Sum: s.ownSum(submit.Model)})
+		return nil, refusal
+	}
+	return r, nil
+}
+
+// Spilled remembers where a chat went that an engine of this home refused.
+func (s *Set) Spilled(from, to ident.Engine, chat ident.Chat) {
+	s.mu.Lock()
+	e, ok := s.engines[from]
+	s.mu.Unlock()
+	if ok {
+		e.spilled.put(chat, to)
+	}
+}
+
+// Update follows a new view: new homes start with the engine's report, lost ones give up what waits.
+func (s *Set) Update(v *fleet.View, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range v.Engines() {
+		id := ident.Engine(i.ID)
+		if i.Role != fleet.RoleEngine || v.HomeOf(id) != s.self {
+			continue
+		}
+		if e, ok := s.engines[id]; ok {
+			e.update(i)
+			continue
+		}
+		e := newEngine(s, i)
+		s.engines[id] = e
+		s.tasks.Go(func() { e.poll(s.ctx) })
+	}
+	for id, e := range s.engines {
+		if v.HomeOf(id) == s.self {
+			continue
+		}
+		e.yield(now)
+		if e.idle() {
+			delete(s.engines, id)
+		}
+	}
+	s.reindex()
+}
+
+// Poll asks every engine of this home for its report.
+func (s *Set) Poll() {
+	for _, e := range s.all() {
+		s.tasks.Go(func() { e.poll(s.ctx) })
+	}
+}
+
+// Tick lets waiting requests run out of time and forgets old runs.
+func (s *Set) Tick(now time.Time) {
+	for _, e := range s.all() {
+		e.mu.Lock()
+		e.dispatch(now)
+		e.mu.Unlock()
+	}
+	s.runs.Sweep(now)
+}
+
+// Sums returns this router's own load of each model.
+func (s *Set) Sums() []wire.ModelSum {
+	var list []wire.ModelSum
+	for m := range *s.index.Load() {
+		list = append(list, s.ownSum(m))
+	}
+	return list
+}
+
+// Status returns what this home knows of its engines.
+func (s *Set) Status(now time.Time) []wire.EngineStatus {
+	var list []wire.EngineStatus
+	for _, e := range s.all() {
+		list = append(list, e.status(s.self, now))
+	}
+	return list
+}
+
+// Engines returns how many engines this router is the home of.
+func (s *Set) Engines() int { return len(s.all()) }
+
+// Point marks that a request passes a step.
+func (s *Set) Point(step string, id ident.Request) { s.point(step, id) }
+
+// Active returns how many requests this home still holds.
+func (s *Set) Active() int { return s.runs.Active() }
+
+// Wait returns once every task of the homes has ended.
+func (s *Set) Wait() { s.tasks.Wait() }
+
+func (s *Set) home(id ident.Engine) (*Engine, *wire.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.engines[id]
+	if !ok || s.fleet.View().HomeOf(id) != s.self {
+		return nil, wire.Refuse(http.StatusServiceUnavailable, wire.CodeNotHome, "engine %s has another home", id)
+	}
+	return e, nil
+}
+
+func (s *Set) all() []*Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*Engine, 0, len(s.engines))
+	for _, e := range s.engines {
+		list = append(list, e)
+	}
+	return list
+}
+
+func (s *Set) reindex() {
+	index := make(modelIndex)
+	for _, e := range s.engines {
+		for _, m := range e.models() {
+			index[m] = append(index[m], e)
+		}
+	}
+	s.index.Store(&index)
+}
+
+// ownSum adds up the load of this home's engines of a model.
+func (s *Set) ownSum(m ident.Model) wire.ModelSum {
+	sum := wire.ModelSum{Model: m}
+	var gaps []int64
+	for _, e := range (*s.index.Load())[m] {
+		sum.Running += int(e.assigned.Load())
+		sum.Engines++
+		if gap := e.gapNanos.Load(); gap > 0 {
+			gaps = append(gaps, gap/int64(time.Microsecond))
+		}
+	}
+	if len(gaps) > 0 {
+		slices.Sort(gaps)
+		sum.GapMicros = gaps[(len(gaps)-1)/2]
+	}
+	return sum
+}
+
+// total returns the load of a model over the fleet.
+func (s *Set) total(m ident.Model, now time.Time) sums.Total {
+	total := s.sums.Total(s.self, s.ownSum(m), now)
+	total.Engines = max(total.Engines, len(s.fleet.View().OfModel(m)))
+	return total
+}
+
+func (e *Engine) models() []ident.Model {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.instance.Models
+}
--- /dev/null
+++ b/process/router/configuration.go
@@ -0,0 +1,274 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/version/config"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+	"go.uber.org/zap"
+)
+
+const watcherPrefix = "/vanillaroute/watchers/"
+
+type (
+	// mismatches notes since when a peer's configuration has differed.
+	mismatches struct {
+		mu      sync.Mutex
+		since   time.Time
+		pulling bool
+	}
+)
+
+// followConfiguration reads the configuration, and then watches the store whenever this router holds a watcher's lease.
+func (r *Router) followConfiguration(ctx context.Context) error {
+	for !r.config.Ready() {
+		if err := r.readStore(ctx); err != nil {
+			r.log.Warn("store not readable at start", zap.Error(err))
+			r.readPeers(ctx)
+		}
+		if !r.config.Ready() && !sleep(ctx, startRetry) {
+			return ctx.Err()
+		}
+	}
+	r.log.Info("configuration read", zap.Int64("revision", int64(r.config.Digest().Highest)))
+	for sleep(ctx, watcherRenewal) {
+		slot, ok := r.watcherSlot()
+		if !ok {
+			continue
+		}
+		if err := r.watchAs(ctx, slot); err != nil && ctx.Err() == nil {
+			r.log.Debug("not watching", zap.Error(err))
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *Router) readStore(ctx context.Context) error {
+	found, revision, err := r.store.List(ctx, lists.Prefix)
+	if err != nil {
+		return err
+	}
+	if fresh := r.config.ApplyAll(toWire(found), revision, time.Now()); len(fresh) > 0 {
+		r.log.Debug("entries read", zap.Int("count", len(fresh)))
+	}
+	return nil
+}
+
+// readPeers takes the whole configuration from at least two ready peers, for a start while the store is away.
+func (r *Router) readPeers(ctx context.Context) {
+	ready := 0
+	for _, to := range r.fleet.Listed() {
+		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		reply, err := r.pool.Call(callCtx, to, wire.Call{Entries: &wire.EntriesAsk{Buckets: allBuckets(), Known: r.config.Known(allBuckets())}})
+		cancel()
+		if err != nil || reply.Entries == nil || !reply.Entries.Ready {
+			continue
+		}
+		r.config.Apply(reply.Entries.Entries, time.Now())
+		if ready++; ready == startPeers {
+			r.config.SetReady()
+			return
+		}
+	}
+}
+
+// watcherSlot reports whether this router is to be one of its failure domain's watchers.
+func (r *Router) watcherSlot() (int, bool) {
+	slot := 0
+	for _, i := range r.fleet.View().RoutersFor("watchers", len(r.fleet.View().Placed())) {
+		if i.FailureDomain != r.settings.Router.FailureDomain {
+			continue
+		}
+		if ident.Router(i.ID) == r.self {
+			return slot, slot < watchersOfDomain
+		}
+		slot++
+	}
+	return 0, false
+}
+
+// watchAs holds the lease of a watcher's slot and watches the store while it lasts.
+func (r *Router) watchAs(ctx context.Context, slot int) error {
+	lease, err := r.store.Grant(ctx, watcherLease)
+	if err != nil {
+		return err
+	}
+	key := watcherPrefix + string(r.settings.Router.FailureDomain) + "/" + strconv.Itoa(slot)
+	value, err := json.Marshal(struct {
+		Router ident.Router `json:"router"`
+	}{r.self})
+	if err != nil {
+		return errors.Wrap(err, "encode watcher")
+	}
+	result, err := r.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Held {
+		return errors.New("another router holds the slot")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.renewWatcher(ctx, cancel, lease, slot)
+	if err := r.readStore(ctx); err != nil {
+		return err
+	}
+	from := r.config.Digest().Highest + 1
+	return r.store.Watch(ctx, lists.Prefix, from, r.watched)
+}
+
+// renewWatcher ends the watch once the lease is lost or the slot belongs to another router.
+func (r *Router) renewWatcher(ctx context.Context, cancel context.CancelFunc, lease store.Lease, slot int) {
+	defer cancel()
+	for sleep(ctx, watcherRenewal) {
+		now, ok := r.watcherSlot()
+		if !ok || now != slot {
+			return
+		}
+		if err := r.store.KeepAlive(ctx, lease); err != nil {
+			return
+		}
+	}
+}
+
+// watched puts changes of the store into force and spreads them.
+func (r *Router) watched(changes []store.Change) {
+	var entries []wire.Entry
+	for _, c := range changes {
+		e := wire.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}
+		if c.Deleted {
+			e.Value = nil
+		}
+		entries = append(entries, e)
+	}
+	if fresh := r.config.Apply(entries, time.Now()); len(fresh) > 0 {
+		r.spread(fresh)
+	}
+}
+
+// publish hands committed entries to routers in other failure domains, and returns how many have them.
+func (r *Router) publish(ctx context.Context, entries []wire.Entry) int {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	kept := 0
+	domains := map[ident.Domain]bool{r.settings.Router.FailureDomain: true}
+	for _, i := range r.fleet.View().RoutersFor(string(r.self), len(r.fleet.View().Placed())) {
+		if domains[i.FailureDomain] || kept == publishPeers {
+			continue
+		}
+		if _, err := r.control(ctx, ident.Router(i.ID), wire.Call{Publish: &wire.PublishAsk{Entries: entries}}); err == nil {
+			domains[i.FailureDomain] = true
+			kept++
+		}
+	}
+	r.spread(entries)
+	return kept
+}
+
+// compare pulls a peer's newer entries once the two configurations have differed for a while.
+func (r *Router) compare(from ident.Router, theirs wire.Digest, now time.Time) {
+	if !r.config.Ready() {
+		return
+	}
+	m := &r.mismatch
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if theirs.Sum == r.config.Digest().Sum {
+		m.since = time.Time{}
+		return
+	}
+	if m.since.IsZero() {
+		m.since = now
+	}
+	if now.Sub(m.since) < mismatchPatience || m.pulling {
+		return
+	}
+	m.pulling = true
+	go r.pull(from)
+}
+
+// pull asks for the buckets that differ, and takes what is newer in them.
+func (r *Router) pull(from ident.Router) {
+	defer func() {
+		r.mismatch.mu.Lock()
+		r.mismatch.pulling = false
+		r.mismatch.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(r.work, pullTimeout)
+	defer cancel()
+	reply, err := r.control(ctx, from, wire.Call{Entries: &wire.EntriesAsk{}})
+	if err != nil || reply.Entries == nil {
+		return
+	}
+	differing := config.Differing(reply.Entries.Sums, r.config.Sums())
+	if len(differing) == 0 {
+		return
+	}
+	reply, err = r.control(ctx, from, wire.Call{Entries: &wire.EntriesAsk{Buckets: differing, Known: r.config.Known(differing)}})
+	if err != nil || reply.Entries == nil {
+		return
+	}
+	r.config.Apply(reply.Entries.Entries, time.Now())
+}
+
+func (r *Router) answerEntries(ask wire.EntriesAsk) *wire.EntriesReply {
+	reply := &wire.EntriesReply{Ready: r.config.Ready()}
+	if len(ask.Buckets) == 0 {
+		reply.Sums = r.config.Sums()
+		return reply
+	}
+	reply.Entries = r.config.Newer(ask.Buckets, ask.Known)
+	return reply
+}
+
+// followInstances reads the platform's list each period.
+func (r *Router) followInstances(ctx context.Context) error {
+	for {
+		list, err := r.instances.List(ctx)
+		if err == nil {
+			if !r.fleet.ApplyList(list, time.Now()) {
+				r.log.Warn("list of instances lost most of its members; not believed yet")
+			}
+			r.homes.Update(r.fleet.View(), time.Now())
+			r.listRead.Store(true)
+		}
+		if !sleep(ctx, listPeriod) {
+			return ctx.Err()
+		}
+	}
+}
+
+// pollEngines asks this home's engines for their reports, within the control budget.
+func (r *Router) pollEngines(now time.Time) {
+	if r.budget.Spend(budget.Membership, reportBytes*r.homes.Engines(), now) {
+		r.homes.Poll()
+	}
+}
+
+func allBuckets() []uint8 {
+	all := make([]uint8, config.Buckets)
+	for i := range all {
+		all[i] = uint8(i)
+	}
+	return all
+}
+
+func toWire(found []store.Entry) []wire.Entry {
+	entries := make([]wire.Entry, len(found))
+	for i, e := range found {
+		entries[i] = wire.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+	}
+	return entries
+}
--- /dev/null
+++ b/process/router/gossip.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/peer"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/budget"
+)
+
+var (
+	errNoShare    = errors.New("the organisation's home lent no share")
+	errOverBudget = errors.New("over the budget of control traffic")
+	errNoReply    = errors.New("no gossip in reply")
+)
+
+// gossip exchanges heartbeats with a few peers each period, in an order that reaches every listed one.
+func (r *Router) gossip(ctx context.Context) error {
+	var round []ident.Router
+	for sleep(ctx, gossipPeriod) {
+		for range gossipFanOut {
+			if len(round) == 0 {
+				round = r.fleet.Listed()
+				rand.Shuffle(len(round), func(i, j int) { round[i], round[j] = round[j], round[i] })
+			}
+			if len(round) == 0 {
+				break
+			}
+			to := round[0]
+			round = round[1:]
+			go r.gossipWith(ctx, to)
+		}
+	}
+	return ctx.Err()
+}
+
+// gossipWith exchanges one heartbeat; a peer that does not answer is probed through others before it is suspected.
+func (r *Router) gossipWith(ctx context.Context, to ident.Router) {
+	if r.ping(ctx, to) || ctx.Err() != nil {
+		return
+	}
+	if !r.fleet.IsAlive(to) || r.pingThroughOthers(ctx, to) {
+		return
+	}
+	r.fleet.Suspect(to, time.Now())
+}
+
+// ping exchanges a heartbeat with a peer, and reports whether it answered.
+func (r *Router) ping(ctx context.Context, to ident.Router) bool {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	message, ok := r.message(nil, time.Now())
+	if !ok {
+		return true
+	}
+	return r.exchange(ctx, to, message) == nil
+}
+
+func (r *Router) exchange(ctx context.Context, to ident.Router, message []byte) error {
+	conn, err := r.pool.Conn(ctx, to)
+	if err != nil {
+		return err
+	}
+	s, err := conn.Open(ctx, wire.KindGossip, message)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	f, err := s.Receive(ctx)
+	if err != nil {
+		return err
+	}
+	if f.Kind != wire.KindGossipReply {
+		return errNoReply
+	}
+	return r.take(f.Body)
+}
+
+func (r *Router) serveGossip(ctx context.Context, s *peer.Stream, body []byte) {
+	if r.take(body) != nil {
+		return
+	}
+	if message, ok := r.message(nil, time.Now()); ok {
+		_ = s.Send(ctx, wire.KindGossipReply, message)
+	}
+}
+
+// message builds a heartbeat with what is worth repeating; less important parts are left out when the budget is low.
+func (r *Router) message(entries []wire.Entry, now time.Time) ([]byte, bool) {
+	incarnation, leaving := r.fleet.Self()
+	g := wire.Gossip{From: r.self, Incarnation: incarnation, Leaving: leaving, Digest: r.config.Digest(), Entries: entries}
+	g.Members, g.Marks = r.fleet.Rumours(now)
+	kind := budget.Membership
+	if leaving || len(entries) > 0 || len(g.Marks) > 0 {
+		kind = budget.Urgent
+	}
+	core := wire.Encode(g)
+	if !r.budget.Spend(kind, len(core)+wire.HeaderBytes, now) {
+		return nil, false
+	}
+	g.Suspects = r.suspects.Rumours(maxSuspects, now)
+	g.Sums = r.homes.Sums()
+	full := wire.Encode(g)
+	if !r.budget.Spend(budget.Sums, len(full)-len(core), now) {
+		return core, true
+	}
+	return full, true
+}
+
+// take applies a heartbeat.
+func (r *Router) take(body []byte) error {
+	g, err := wire.Decode[wire.Gossip](body)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	r.fleet.Heard(g.From, g.Incarnation, g.Leaving, now)
+	r.fleet.Merge(g.Members, now)
+	for _, m := range g.Marks {
+		r.fleet.MarkEngine(m.Engine, m.Leaving, now.Add(-m.Age), now)
+	}
+	r.sums.Update(g.From, g.Sums, now)
+	r.suspects.Merge(g.Suspects, now)
+	if fresh := r.config.Apply(g.Entries, now); len(fresh) > 0 {
+		r.spread(fresh)
+	}
+	r.compare(g.From, g.Digest, now)
+	return nil
+}
+
+// spread hands new entries on to a few peers at once.
+func (r *Router) spread(entries []wire.Entry) {
+	for _, to := range r.somePeers(rumourFanOut) {
+		go func() {
+			ctx, cancel := context.WithTimeout(r.work, gossipTimeout)
+			defer cancel()
+			if message, ok := r.message(entries, time.Now()); ok {
+				_ = r.exchange(ctx, to, message)
+			}
+		}()
+	}
+}
+
+// gossipToAll tells every peer at once, as when leaving.
+func (r *Router) gossipToAll(ctx context.Context) {
+	for _, to := range r.somePeers(len(r.fleet.View().Routers())) {
+		go func() { r.ping(ctx, to) }()
+	}
+}
+
+func (r *Router) somePeers(limit int) []ident.Router {
+	var ids []ident.Router
+	for _, i := range r.fleet.View().Routers() {
+		if id := ident.Router(i.ID); id != r.self {
+			ids = append(ids, id)
+		}
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(limit, len(ids))]
+}
+
+func (r *Router) pingThroughOthers(ctx context.Context, target ident.Router) bool {
+	helpers := 0
+	for _, helper := range r.somePeers(len(r.fleet.View().Routers())) {
+		if helper == target || helpers == probeHelpers {
+			continue
+		}
+		helpers++
+		callCtx, cancel := context.WithTimeout(ctx, 2*gossipTimeout)
+		reply, err := r.control(callCtx, helper, wire.Call{Probe: &wire.ProbeAsk{Target: target}})
+		cancel()
+		if err == nil && reply.Probe != nil && reply.Probe.Reached {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectSoon has a router probed at once that a request has just lost.
+func (r *Router) suspectSoon(id ident.Router) {
+	if id == r.self || id == "" {
+		return
+	}
+	select {
+	case r.wakeProbe <- id:
+	default:
+	}
+}
+
+// probeLost probes the routers that requests have lost.
+func (r *Router) probeLost(ctx context.Context) error {
+	for {
+		select {
+		case id := <-r.wakeProbe:
+			r.gossipWith(ctx, id)
+			r.forgetProbes()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// forgetProbes drops what was asked while the last probe was made.
+func (r *Router) forgetProbes() {
+	for {
+		select {
+		case <-r.wakeProbe:
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/process/router/peers.go
@@ -0,0 +1,191 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/peer"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/request/relay"
+)
+
+// open asks an engine's home for an answer: this router itself, or a peer.
+func (r *Router) open(ctx context.Context, to ident.Router, submit wire.Submit) (relay.Source, error) {
+	if to == r.self || to == "" {
+		run, refusal := r.homes.Submit(submit, time.Now())
+		if refusal != nil {
+			return relay.Refused(refusal), nil
+		}
+		return relay.Local(run, submit.From), nil
+	}
+	conn, err := r.pool.Conn(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	s, err := conn.Open(ctx, wire.KindSubmit, wire.Encode(submit))
+	if err != nil {
+		return nil, err
+	}
+	return relay.Remote(s, submit.From), nil
+}
+
+// servePeer serves one stream of a peer.
+func (r *Router) servePeer(ctx context.Context, from ident.Router, s *peer.Stream, first wire.Frame) {
+	switch first.Kind {
+	case wire.KindSubmit:
+		r.serveSubmit(ctx, s, first.Body)
+	case wire.KindCall:
+		r.serveCall(ctx, s, first.Body)
+	case wire.KindGossip:
+		r.serveGossip(ctx, s, first.Body)
+	default:
+		r.log.Warn("unexpected frame from peer " + string(from))
+	}
+}
+
+func (r *Router) serveSubmit(ctx context.Context, s *peer.Stream, body []byte) {
+	submit, err := wire.Decode[wire.Submit](body)
+	if err != nil {
+		return
+	}
+	run, refusal := r.homes.Submit(submit, time.Now())
+	if refusal != nil {
+		_ = s.Send(ctx, wire.KindEnd, wire.Encode(wire.End{Refusal: refusal}))
+		return
+	}
+	relay.Serve(ctx, s, run, submit.From)
+}
+
+func (r *Router) serveCall(ctx context.Context, s *peer.Stream, body []byte) {
+	call, err := wire.Decode[wire.Call](body)
+	if err != nil {
+		return
+	}
+	reply := r.answerCall(ctx, call)
+	encoded := wire.Encode(reply)
+	if kind, control := controlKind(call); control {
+		r.budget.Spend(kind, len(encoded)+wire.HeaderBytes, time.Now())
+	}
+	_ = s.Send(ctx, wire.KindReply, encoded)
+}
+
+func (r *Router) answerCall(ctx context.Context, call wire.Call) wire.Reply {
+	now := time.Now()
+	switch {
+	case call.Service != nil:
+		answer := r.ledger.Do(ctx, *call.Service, now)
+		return wire.Reply{Service: &answer}
+	case call.Share != nil:
+		return r.lend(*call.Share, now)
+	case call.Probe != nil:
+		return wire.Reply{Probe: &wire.ProbeReply{Reached: r.ping(ctx, call.Probe.Target)}}
+	case call.Entries != nil:
+		return wire.Reply{Entries: r.answerEntries(*call.Entries)}
+	case call.Publish != nil:
+		r.config.Apply(call.Publish.Entries, now)
+		return wire.Reply{}
+	case call.Spill != nil:
+		r.homes.Spilled(call.Spill.From, call.Spill.To, call.Spill.Chat)
+		return wire.Reply{}
+	case call.Status:
+		status := r.status(now)
+		return wire.Reply{Status: &status}
+	default:
+		return wire.Reply{Refusal: wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "unknown call")}
+	}
+}
+
+// control sends a control call within the budget.
+func (r *Router) control(ctx context.Context, to ident.Router, call wire.Call) (wire.Reply, error) {
+	kind, ok := controlKind(call)
+	if ok && !r.budget.Spend(kind, len(wire.Encode(call))+wire.HeaderBytes, time.Now()) {
+		return wire.Reply{}, errOverBudget
+	}
+	return r.pool.Call(ctx, to, call)
+}
+
+// controlKind returns how important a call is, and whether it is control traffic at all.
+func controlKind(call wire.Call) (budget.Kind, bool) {
+	switch {
+	case call.Service != nil || call.Status:
+		return 0, false
+	case call.Publish != nil || call.Entries != nil:
+		return budget.Urgent, true
+	case call.Probe != nil:
+		return budget.Membership, true
+	default:
+		return budget.Shares, true
+	}
+}
+
+func (r *Router) lend(ask wire.ShareAsk, now time.Time) wire.Reply {
+	plan, ok := r.config.PlanOf(ask.Organisation)
+	if !ok {
+		return wire.Reply{Refusal: wire.Refuse(http.StatusNotFound, wire.CodeForbidden, "the organisation is not known here")}
+	}
+	allowance, ok := r.config.Allowance(plan.Plan)
+	if !ok {
+		return wire.Reply{Refusal: wire.Refuse(http.StatusNotFound, wire.CodeForbidden, "the plan is not known here")}
+	}
+	grant := r.lender.Lend(ask, allowance, now)
+	return wire.Reply{Share: &grant}
+}
+
+// askShare asks the organisation's home router, which may be this one.
+func (r *Router) askShare(ctx context.Context, ask wire.ShareAsk) (wire.ShareGrant, error) {
+	to := r.fleet.View().HomeOfKey("limits\x00" + string(ask.Organisation))
+	var reply wire.Reply
+	if to == r.self || to == "" {
+		reply = r.lend(ask, time.Now())
+	} else {
+		var err error
+		if reply, err = r.control(ctx, to, wire.Call{Share: &ask}); err != nil {
+			return wire.ShareGrant{}, err
+		}
+	}
+	if reply.Share == nil {
+		return wire.ShareGrant{}, errNoShare
+	}
+	return *reply.Share, nil
+}
+
+// spilled tells the home of an engine where a chat went.
+func (r *Router) spilled(to ident.Router, note wire.SpillNote) {
+	if to == r.self {
+		r.homes.Spilled(note.From, note.To, note.Chat)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.work, gossipTimeout)
+		defer cancel()
+		_, _ = r.control(ctx, to, wire.Call{Spill: &note})
+	}()
+}
+
+func (r *Router) status(now time.Time) wire.StatusReply {
+	digest := r.config.Digest()
+	return wire.StatusReply{
+		Router: r.self, Ready: r.Ready(), Leaving: r.leaving.Load(), Revision: digest.Highest, Sum: digest.Sum,
+		Engines: r.homes.Status(now),
+	}
+}
+
+// statusAll asks every live router for its state.
+func (r *Router) statusAll(ctx context.Context) []wire.StatusReply {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	list := []wire.StatusReply{r.status(time.Now())}
+	for _, i := range r.fleet.View().Routers() {
+		if ident.Router(i.ID) == r.self {
+			continue
+		}
+		reply, err := r.pool.Call(ctx, ident.Router(i.ID), wire.Call{Status: true})
+		if err == nil && reply.Status != nil {
+			list = append(list, *reply.Status)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/process/router/router.go
@@ -0,0 +1,258 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/callers"
+	"github.com/vanillaroute/vanillaroute/connection/instances"
+	"github.com/vanillaroute/vanillaroute/connection/peer"
+	"github.com/vanillaroute/vanillaroute/connection/service"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/process/home"
+	"github.com/vanillaroute/vanillaroute/process/limits"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/request/ledger"
+	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/version/config"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/sums"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+type (
+	// Options are what a router is given beside its settings.
+	Options struct {
+		Log *zap.Logger
+		// Callers and Peers are listeners to use in place of the settings' addresses.
+		Callers net.Listener
+		Peers   net.Listener
+		// Point is called where a request passes a step, so that tests can cause a fault there.
+		Point home.Point
+	}
+
+	// Router is one router process.
+	Router struct {
+		settings    settings.Settings
+		log         *zap.Logger
+		self        ident.Router
+		incarnation ident.Incarnation
+		fleet       *fleet.Fleet
+		config      *config.State
+		sums        *sums.Table
+		suspects    *suspects.Table
+		budget      *budget.Budget
+		metrics     *metrics.Metrics
+		homes       *home.Set
+		ledger      *ledger.Ledger
+		lender      *limits.Lender
+		shares      *limits.Shares
+		relay       *relay.Relay
+		pool        *peer.Pool
+		store       store.Store
+		instances   *instances.Client
+		services    *service.Client
+		identity    peer.Identity
+		callersLn   net.Listener
+		peersLn     net.Listener
+		work        context.Context
+		stopWork    context.CancelFunc
+		leaving     atomic.Bool
+		listRead    atomic.Bool
+		mismatch    mismatches
+		wakeProbe   chan ident.Router
+	}
+)
+
+// New listens on the router's addresses and returns it, not yet running; it fails where an address is taken or a certificate is wrong.
+func New(s settings.Settings, o Options, now time.Time) (*Router, error) {
+	r := &Router{
+		settings: s, log: o.Log, self: s.Router.ID, incarnation: ident.Incarnation(now.UnixNano()),
+		config: config.New(), sums: sums.New(), suspects: suspects.New(), budget: budget.New(now), metrics: metrics.New(),
+		lender: limits.NewLender(), store: store.New(s.Platform.Store.String()),
+		instances: instances.New(s.Platform.Instances.String()), services: service.New(),
+		wakeProbe: make(chan ident.Router, 64),
+	}
+	secured, err := peerTLS(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	r.identity = peer.Identity{Router: r.self, Incarnation: r.incarnation, TLS: secured}
+	if err := r.listen(o); err != nil {
+		return nil, err
+	}
+	self := fleet.Instance{
+		ID: string(r.self), Role: fleet.RoleRouter, Address: r.callersLn.Addr().String(), PeerAddress: r.peersLn.Addr().String(),
+		FailureDomain: s.Router.FailureDomain, State: fleet.StateLive,
+	}
+	r.fleet = fleet.New(self, r.incarnation, now)
+	r.work, r.stopWork = context.WithCancel(context.Background())
+	r.wire(o)
+	return r, nil
+}
+
+// wire creates the parts that need one another.
+func (r *Router) wire(o Options) {
+	point := o.Point
+	if point == nil {
+		point = func(string, ident.Request) {}
+	}
+	r.pool = peer.NewPool(r.identity, r.fleet.Address)
+	r.homes = home.NewSet(r.work, home.Parts{
+		Self: r.self, Policy: r.settings.Routing, Fleet: r.fleet, Sums: r.sums, Suspects: r.suspects, Metrics: r.metrics, Point: point,
+	})
+	r.ledger = ledger.New(r.work, ledger.Parts{
+		Self: r.self, Incarnation: r.incarnation, Store: r.store, Send: r.sendOnce, Forward: r.forwardOnce, Alive: r.ownerAlive, Point: point,
+	})
+	r.shares = limits.NewShares(r.self, r.askShare, func() int { return len(r.fleet.View().Placed()) })
+	r.relay = &relay.Relay{
+		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled,
+		Hedges: relay.NewHedges(r.settings.Routing.HedgeShare), Retries: relay.NewRetries(),
+	}
+}
+
+// Run serves until ctx ends, then leaves the fleet, finishes what is in progress, and returns.
+func (r *Router) Run(ctx context.Context) error {
+	server := callers.New(r.callerParts()).HTTP()
+	server.ErrorLog = zap.NewStdLog(r.log)
+	group, groupCtx := errgroup.WithContext(r.work)
+	group.Go(func() error { return peer.Serve(groupCtx, r.peersLn, r.identity, r.servePeer) })
+	group.Go(func() error { return ignoreClosed(server.Serve(r.callersLn)) })
+	group.Go(func() error { return r.followInstances(groupCtx) })
+	group.Go(func() error { return r.followConfiguration(groupCtx) })
+	group.Go(func() error { return r.gossip(groupCtx) })
+	group.Go(func() error { return r.probeLost(groupCtx) })
+	group.Go(func() error { return r.keepTime(groupCtx) })
+	select {
+	case <-ctx.Done():
+		r.shutDown(server)
+	case <-groupCtx.Done():
+	}
+	r.stopWork()
+	_ = r.peersLn.Close()
+	_ = server.Close()
+	r.pool.Close()
+	err := group.Wait()
+	r.homes.Wait()
+	r.ledger.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// CallerAddress returns the address that callers connect to.
+func (r *Router) CallerAddress() string { return r.callersLn.Addr().String() }
+
+// PeerAddress returns the address that peers connect to.
+func (r *Router) PeerAddress() string { return r.peersLn.Addr().String() }
+
+// Ready reports whether the router has read configuration and instances and is not leaving.
+func (r *Router) Ready() bool {
+	return r.config.Ready() && r.listRead.Load() && !r.leaving.Load()
+}
+
+// Kill stops the router at once, as a crash would.
+func (r *Router) Kill() { r.stopWork() }
+
+func (r *Router) listen(o Options) error {
+	r.callersLn, r.peersLn = o.Callers, o.Peers
+	var err error
+	if r.callersLn == nil {
+		if r.callersLn, err = net.Listen("tcp", r.settings.Router.Callers.String()); err != nil {
+			return errors.Wrap(err, "listen for callers")
+		}
+	}
+	if r.peersLn == nil {
+		if r.peersLn, err = net.Listen("tcp", r.settings.Router.Peers.String()); err != nil {
+			_ = r.callersLn.Close()
+			return errors.Wrap(err, "listen for peers")
+		}
+	}
+	return nil
+}
+
+func (r *Router) callerParts() callers.Parts {
+	return callers.Parts{
+		Self: r.self, Settings: r.settings, Log: r.log, Config: r.config, Fleet: r.fleet, Shares: r.shares, Relay: r.relay,
+		Metrics: r.metrics, Store: r.store, Once: r.callOnce, Repeatable: r.callRepeatable, Mint: r.ledger.Mint,
+		Publish: r.publish, Status: r.statusAll, Ready: r.Ready, Control: func() any { return r.budget.Usage() },
+		Point: r.homes.Point,
+	}
+}
+
+// shutDown tells the fleet, serves on while callers may still hold this address, and then finishes what is in progress.
+func (r *Router) shutDown(server *http.Server) {
+	r.log.Info("leaving")
+	r.leaving.Store(true)
+	r.fleet.Leave(time.Now())
+	r.gossipToAll(r.work)
+	ctx, cancel := context.WithTimeout(r.work, r.settings.Routing.GracefulShutdown.Std())
+	defer cancel()
+	sleep(ctx, r.settings.Routing.AddressValidity.Std())
+	if err := server.Shutdown(ctx); err != nil {
+		r.log.Warn("requests cut at shutdown", zap.Error(err))
+	}
+	for r.homes.Active()+r.ledger.Active() > 0 && ctx.Err() == nil {
+		sleep(ctx, tickPeriod)
+	}
+	r.log.Info("left", zap.Int("activeRuns", r.homes.Active()), zap.Int("activeCalls", r.ledger.Active()))
+}
+
+// keepTime runs everything that only passes with time.
+func (r *Router) keepTime(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	lastPoll, lastRenew := time.Time{}, time.Time{}
+	for sleep(ctx, tickPeriod) {
+		now := time.Now()
+		r.fleet.Tick(now)
+		r.homes.Update(r.fleet.View(), now)
+		r.homes.Tick(now)
+		if now.Sub(lastPoll) >= pollPeriod {
+			lastPoll = now
+			r.pollEngines(now)
+		}
+		if now.Sub(lastRenew) >= limits.RenewPeriod {
+			lastRenew = now
+			tasks.Go(func() { r.shares.Renew(ctx, now) })
+			r.ledger.Sweep(now)
+			r.lender.Sweep(now)
+			r.suspects.Sweep(now)
+			r.config.Sweep(now)
+		}
+	}
+	return ctx.Err()
+}
+
+// sleep waits, and reports false once ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// Peers returns how many routers, this one included, are live in its view.
+func (r *Router) Peers() int { return len(r.fleet.View().Routers()) }
--- /dev/null
+++ b/process/router/services.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/peer"
+	"github.com/vanillaroute/vanillaroute/connection/service"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/ledger"
+	"github.com/vanillaroute/vanillaroute/version/rank"
+)
+
+var errNoInstance = errors.New("no instance of the service is live")
+
+// callOnce hands an unrepeatable call to the home of its key, and to the next home where that one is lost.
+func (r *Router) callOnce(ctx context.Context, call wire.ServiceCall) wire.ServiceAnswer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callDeadline)
+	defer cancel()
+	handed := false
+	for ctx.Err() == nil {
+		to := r.onceHome(call)
+		if to == r.self || to == "" {
+			return truthful(r.ledger.Do(ctx, call, time.Now()), handed)
+		}
+		reply, err := r.pool.Call(ctx, to, wire.Call{Service: &call})
+		if err == nil && reply.Service != nil {
+			return truthful(*reply.Service, handed)
+		}
+		var unreachable *peer.UnreachableError
+		if !errors.As(err, &unreachable) {
+			handed = true
+		}
+		r.suspectSoon(to)
+		if ledger.IsMinted(call.Key) {
+			return truthful(answerLost(), handed)
+		}
+		sleep(ctx, tickPeriod)
+	}
+	return answerLost()
+}
+
+// onceHome returns the router that keeps the record of a key: the one that minted it, or one of a few chosen by hash.
+func (r *Router) onceHome(call wire.ServiceCall) ident.Router {
+	if ledger.IsMinted(call.Key) {
+		return ledger.MintedBy(call.Key)
+	}
+	var members []rank.Member
+	for _, i := range r.fleet.View().RoutersFor("ledger", ledgerHomes) {
+		members = append(members, rank.Member{Name: i.ID, Weight: 1})
+	}
+	best := rank.Best(string(call.Organisation)+"\x00"+call.Key, members)
+	if best < 0 {
+		return r.self
+	}
+	return ident.Router(members[best].Name)
+}
+
+// sendOnce sends a call to an instance; another one is tried only where nothing was run.
+func (r *Router) sendOnce(ctx context.Context, call wire.ServiceCall) (wire.ServiceAnswer, error) {
+	cause := errNoInstance
+	for _, i := range r.fleet.View().ServiceCandidates(call.Service, call.Key, serviceTries) {
+		r.homes.Point("sent", call.Request)
+		answer, err := r.services.Call(ctx, i.Address, call)
+		var notRun *service.NotRunError
+		if !errors.As(err, &notRun) {
+			return answer, err
+		}
+		cause = err
+	}
+	return wire.ServiceAnswer{}, &ledger.NotSentError{Cause: cause}
+}
+
+// callRepeatable sends a call to one instance after another until one answers.
+func (r *Router) callRepeatable(ctx context.Context, call wire.ServiceCall) wire.ServiceAnswer {
+	handed := false
+	candidates := r.fleet.View().ServiceCandidates(call.Service, string(call.Request), serviceTries)
+	for _, i := range candidates {
+		answer, err := r.services.Call(ctx, i.Address, call)
+		if err == nil {
+			return answer
+		}
+		var notRun *service.NotRunError
+		handed = handed || !errors.As(err, &notRun)
+	}
+	refusal := wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "no instance of the service answered")
+	return truthful(wire.ServiceAnswer{Refusal: refusal}, handed)
+}
+
+// forwardOnce hands a call to the router that owns its intent.
+func (r *Router) forwardOnce(ctx context.Context, owner ident.Router, call wire.ServiceCall) (wire.ServiceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callDeadline)
+	defer cancel()
+	reply, err := r.pool.Call(ctx, owner, wire.Call{Service: &call})
+	if err != nil {
+		return wire.ServiceAnswer{}, err
+	}
+	if reply.Service == nil {
+		return wire.ServiceAnswer{}, errNoReply
+	}
+	return *reply.Service, nil
+}
+
+// ownerAlive reports whether the life of the router that wrote an intent still lasts.
+func (r *Router) ownerAlive(owner ident.Router, incarnation ident.Incarnation) bool {
+	return r.fleet.IsLife(owner, incarnation)
+}
+
+// truthful withdraws a "not run" once an earlier home may have been handed the call.
+func truthful(a wire.ServiceAnswer, handed bool) wire.ServiceAnswer {
+	if a.Refusal == nil || !handed || a.Refusal.Outcome != wire.NotRun {
+		return a
+	}
+	told := *a.Refusal
+	told.Outcome = wire.OutcomeUnknown
+	a.Refusal = &told
+	return a
+}
+
+func answerLost() wire.ServiceAnswer {
+	refusal := wire.Refuse(http.StatusGatewayTimeout, wire.CodeUnknown, "the router that holds the call cannot be reached; the call may have run")
+	refusal.Outcome = wire.OutcomeUnknown
+	return wire.ServiceAnswer{Refusal: refusal}
+}
--- /dev/null
+++ b/process/settings/load.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"encoding/hex"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+)
+
+const (
+	defaultLoadBound         = 1.25
+	defaultLongShare         = 0.6
+	defaultQueueLimit        = 256
+	defaultHedgeShare        = 0.03
+	defaultFirstTokenTimeout = 10 * time.Second
+	defaultStallTimeout      = 5 * time.Second
+	defaultAddressValidity   = 10 * time.Second
+	defaultGracefulShutdown  = 60 * time.Second
+	defaultMaxWait           = 10 * time.Second
+	defaultLongMaxWait       = 60 * time.Second
+	defaultLogLevel          = "info"
+	hashHexLength            = 64
+)
+
+// Load reads a settings file, fills in defaults and checks it; it fails with a *tomlfile.FieldError on a wrong field.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse does what Load does with the content of a file.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	if err := tomlfile.Decode(file, data, &s); err != nil {
+		return Settings{}, err
+	}
+	s.Default()
+	if err := s.check(file, data); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Default fills in every optional field that is not set.
+func (s *Settings) Default() {
+	r := &s.Routing
+	orDefault(&r.LoadBound, defaultLoadBound)
+	orDefault(&r.LongShare, defaultLongShare)
+	orDefault(&r.QueueLimit, defaultQueueLimit)
+	orDefault(&r.HedgeShare, defaultHedgeShare)
+	orDefault(&r.FirstTokenTimeout, tomlfile.Duration(defaultFirstTokenTimeout))
+	orDefault(&r.StallTimeout, tomlfile.Duration(defaultStallTimeout))
+	orDefault(&r.AddressValidity, tomlfile.Duration(defaultAddressValidity))
+	orDefault(&r.GracefulShutdown, tomlfile.Duration(defaultGracefulShutdown))
+	orDefault(&s.Log.Level, defaultLogLevel)
+	if len(r.Classes) == 0 {
+		r.Classes = []Class{{Name: "standard"}, {Name: "interactive"}, {Name: "long", Long: true}}
+	}
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		if c.Long {
+			orDefault(&c.MaxWait, tomlfile.Duration(defaultLongMaxWait))
+		}
+		orDefault(&c.MaxWait, tomlfile.Duration(defaultMaxWait))
+	}
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// check returns the first wrong field.
+func (s Settings) check(file string, data []byte) error {
+	type rule struct {
+		ok         bool
+		table, key string
+		expected   string
+	}
+	tls := s.Peers
+	allOrNone := (tls.Authority == "") == (tls.Certificate == "") && (tls.Certificate == "") == (tls.Key == "")
+	rules := []rule{
+		{s.Router.ID != "", "router", "id", "expected the router's name"},
+		{s.Router.FailureDomain != "", "router", "failureDomain", "expected the router's failure domain"},
+		{s.Router.Callers.IsValid(), "router", "callers", "expected the IP number and port for callers"},
+		{s.Router.Peers.IsValid(), "router", "peers", "expected the IP number and port for peers"},
+		{s.Platform.Store.IsValid(), "platform", "store", "expected the IP number and port of the key-value service"},
+		{s.Platform.Instances.IsValid(), "platform", "instances", "expected the IP number and port of the list of instances"},
+		{isHash(s.Operators.KeyHash), "operators", "keyHash", "expected the SHA-256 hash of the operators' key in 64 hexadecimal digits"},
+		{allOrNone, "peers", "certificate", "expected authority, certificate and key together"},
+		{s.Routing.LoadBound >= 1, "routing", "loadBound", "expected a multiple of 1 or more"},
+		{s.Routing.LongShare > 0 && s.Routing.LongShare <= 1, "routing", "longShare", "expected a share between 0 and 1"},
+		{s.Routing.QueueLimit > 0, "routing", "queueLimit", "expected a count above 0"},
+		{s.Routing.HedgeShare >= 0 && s.Routing.HedgeShare <= 1, "routing", "hedgeShare", "expected a share between 0 and 1"},
+		{s.Routing.FirstTokenTimeout > 0, "routing", "firstTokenTimeout", "expected a duration above 0"},
+		{s.Routing.StallTimeout > 0, "routing", "stallTimeout", "expected a duration above 0"},
+		{s.Routing.AddressValidity > 0, "routing", "addressValidity", "expected a duration above 0"},
+		{s.Routing.GracefulShutdown > 0, "routing", "gracefulShutdown", "expected a duration above 0"},
+	}
+	for _, r := range rules {
+		if !r.ok {
+			return &tomlfile.FieldError{File: file, Line: tomlfile.Line(data, r.table, 0, r.key), Field: r.table + "." + r.key, Expected: r.expected}
+		}
+	}
+	return s.checkNames(file, data)
+}
+
+func (s Settings) checkNames(file string, data []byte) error {
+	seen := make(map[string]bool)
+	for i, c := range s.Routing.Classes {
+		if c.Name == "" || seen[string(c.Name)] || c.MaxWait <= 0 {
+			return &tomlfile.FieldError{File: file, Line: tomlfile.Line(data, "routing.class", i, "name"), Field: "routing.class.name", Expected: "expected a name of its own and a maxWait above 0"}
+		}
+		seen[string(c.Name)] = true
+	}
+	for i, v := range s.Services {
+		if v.Name == "" || seen["service "+string(v.Name)] {
+			return &tomlfile.FieldError{File: file, Line: tomlfile.Line(data, "service", i, "name"), Field: "service.name", Expected: "expected a name of its own"}
+		}
+		seen["service "+string(v.Name)] = true
+	}
+	return nil
+}
+
+func isHash(h string) bool {
+	_, err := hex.DecodeString(h)
+	return err == nil && len(h) == hashHexLength
+}
--- /dev/null
+++ b/request/relay/hedge.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	hedgeQuantile  = 95
+	hedgeSamples   = 100
+	hedgeWindow    = 1000
+	hedgeSuffix    = "-h"
+	histogramMax   = int64(time.Minute / time.Microsecond)
+	budgetBurst    = 10
+	retryShare     = 0.1
+	histogramDigit = 2
+)
+
+type (
+	// Budget allows a share of the requests something extra.
+	Budget struct {
+		mu    sync.Mutex
+		share float64
+		saved float64
+	}
+
+	// Hedges decide when a request is sent to a second engine.
+	Hedges struct {
+		*Budget
+		mu    sync.Mutex
+		first map[ident.Class]*hdrhistogram.Histogram
+	}
+
+	// arrival is the first word of a source.
+	arrival struct {
+		source Source
+		events [][]byte
+		end    *wire.End
+		err    error
+	}
+)
+
+// NewBudget returns a budget for a share of all requests.
+func NewBudget(share float64) *Budget { return &Budget{share: share, saved: budgetBurst} }
+
+// NewRetries returns the budget for sending a request again after an engine failed.
+func NewRetries() *Budget { return NewBudget(retryShare) }
+
+// Request counts a request.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(b.saved+b.share, budgetBurst)
+}
+
+// Take spends one from the budget, and reports false where it is used up.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// NewHedges returns hedges for a share of all requests.
+func NewHedges(share float64) *Hedges {
+	return &Hedges{Budget: &Budget{share: share}, first: make(map[ident.Class]*hdrhistogram.Histogram)}
+}
+
+// Learn notes the time to the first token of a class.
+func (h *Hedges) Learn(class ident.Class, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hist, ok := h.first[class]
+	if !ok || hist.TotalCount() >= hedgeWindow {
+		fresh := hdrhistogram.New(1, histogramMax, histogramDigit)
+		if ok {
+			_ = fresh.RecordValues(hist.ValueAtQuantile(hedgeQuantile), hedgeSamples)
+		}
+		hist = fresh
+		h.first[class] = hist
+	}
+	_ = hist.RecordValue(min(max(d.Microseconds(), 1), histogramMax))
+}
+
+// Delay returns after what time without a token a request of the class is hedged, or false while too few are known.
+func (h *Hedges) Delay(class ident.Class) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hist, ok := h.first[class]
+	if !ok || hist.TotalCount() < hedgeSamples {
+		return 0, false
+	}
+	return time.Duration(hist.ValueAtQuantile(hedgeQuantile)) * time.Microsecond, true
+}
+
+// firstEvents waits for the first word of the source; where it is late, a second engine is asked as well and the faster wins.
+func (c *chat) firstEvents(ctx context.Context, source Source, engine ident.Engine) (Source, [][]byte, *wire.End, error) {
+	c.Hedges.Request()
+	began := time.Now()
+	delay, known := c.Hedges.Delay(c.submit.Class)
+	second, ok := c.hedgeEngine(engine)
+	if !known || !ok {
+		events, end, err := source.Next(ctx)
+		c.learn(end, err, began)
+		return source, events, end, err
+	}
+	ctxFirst, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
+	arrivals := make(chan arrival, 2)
+	go await(ctxFirst, source, arrivals)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case a := <-arrivals:
+		c.learn(a.end, a.err, began)
+		return a.source, a.events, a.end, a.err
+	case <-timer.C:
+	}
+	hedge, ok := c.openHedge(ctx, second)
+	if !ok {
+		a := <-arrivals
+		return a.source, a.events, a.end, a.err
+	}
+	go await(ctxFirst, hedge, arrivals)
+	winner := <-arrivals
+	loser := source
+	if winner.source == source {
+		loser = hedge
+	}
+	if winner.failed() {
+		winner.source.Close(true)
+		winner = <-arrivals
+	} else {
+		loser.Close(true)
+	}
+	if winner.source == hedge {
+		c.submit.Engine = second
+		c.submit.Request += hedgeSuffix
+	}
+	return winner.source, winner.events, winner.end, winner.err
+}
+
+// hedgeEngine returns a second engine for a short request that has no token yet.
+func (c *chat) hedgeEngine(first ident.Engine) (ident.Engine, bool) {
+	if c.passed > 0 || c.Policy.Class(c.submit.Class).Long || len(c.submit.Crashed) > 0 {
+		return "", false
+	}
+	for _, e := range c.order {
+		if e != first {
+			return e, true
+		}
+	}
+	return "", false
+}
+
+func (c *chat) openHedge(ctx context.Context, engine ident.Engine) (Source, bool) {
+	if !c.Hedges.Take() {
+		return nil, false
+	}
+	submit := c.submit
+	submit.Engine = engine
+	submit.Request += hedgeSuffix
+	submit.SpillTried = true
+	submit.LastChoice = false
+	source, err := c.Open(ctx, c.View().HomeOf(engine), submit)
+	return source, err == nil
+}
+
+func (c *chat) learn(end *wire.End, err error, began time.Time) {
+	if end == nil && err == nil && c.passed == 0 {
+		c.Hedges.Learn(c.submit.Class, time.Since(began))
+	}
+}
+
+func (a arrival) failed() bool { return a.err != nil || (a.end != nil && a.end.Refusal != nil) }
+
+func await(ctx context.Context, s Source, arrivals chan<- arrival) {
+	events, end, err := s.Next(ctx)
+	arrivals <- arrival{source: s, events: events, end: end, err: err}
+}
--- /dev/null
+++ b/request/relay/source.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/peer"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/request/run"
+)
+
+const (
+	// Window is how many events a home sends ahead of the entry's acknowledgement.
+	Window = 128
+
+	ackEvery   = 32
+	eventLimit = 64
+)
+
+type (
+	// Source is an answer as it comes from a home router.
+	Source interface {
+		// Next returns the next events, or the end; an error says that the home was lost.
+		Next(ctx context.Context) ([][]byte, *wire.End, error)
+		// Passed tells how many events were passed on so far.
+		Passed(n int)
+		// Close ends reading, and cancels the run where no one else will read it.
+		Close(cancel bool)
+	}
+
+	localSource struct {
+		run  *run.Run
+		next int
+	}
+
+	remoteSource struct {
+		stream *peer.Stream
+		acked  int
+		ended  bool
+	}
+
+	refusedSource struct{ refusal *wire.Refusal }
+)
+
+// Local returns the source of a run at this router; the run counts one reader for it already.
+func Local(r *run.Run, from int) Source { return &localSource{run: r, next: from} }
+
+// Remote returns the source of a run at another router.
+func Remote(s *peer.Stream, from int) Source { return &remoteSource{stream: s, acked: from} }
+
+// Refused returns a source that ends at once.
+func Refused(r *wire.Refusal) Source { return refusedSource{refusal: r} }
+
+func (s *localSource) Next(ctx context.Context) ([][]byte, *wire.End, error) {
+	events, end, err := s.run.Wait(ctx, s.next, eventLimit)
+	s.next += len(events)
+	return events, end, err
+}
+
+func (s *localSource) Passed(int) {}
+
+func (s *localSource) Close(cancel bool) {
+	s.run.Detach(time.Now())
+	if cancel {
+		s.run.Cancel()
+	}
+}
+
+func (s *remoteSource) Next(ctx context.Context) ([][]byte, *wire.End, error) {
+	f, err := s.stream.Receive(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if f.Kind == wire.KindEnd {
+		s.ended = true
+		end, err := wire.Decode[wire.End](f.Body)
+		return nil, &end, err
+	}
+	events, err := wire.Decode[wire.Events](f.Body)
+	return events.Items, nil, err
+}
+
+func (s *remoteSource) Passed(n int) {
+	if n-s.acked < ackEvery {
+		return
+	}
+	s.acked = n
+	_ = s.stream.Send(context.Background(), wire.KindAck, wire.Encode(wire.Ack{Passed: n}))
+}
+
+func (s *remoteSource) Close(cancel bool) {
+	if !s.ended {
+		_ = s.stream.Send(context.Background(), wire.KindCancel, wire.Encode(wire.Cancel{Stop: cancel}))
+	}
+	s.stream.Close()
+}
+
+func (s refusedSource) Next(context.Context) ([][]byte, *wire.End, error) {
+	return nil, &wire.End{Refusal: s.refusal}, nil
+}
+
+func (refusedSource) Passed(int) {}
+
+func (refusedSource) Close(bool) {}
+
+// Serve sends a run to the entry router that asked for it, within the window, until either side ends.
+func Serve(ctx context.Context, s *peer.Stream, r *run.Run, from int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	acks := make(chan int, 1)
+	go func() {
+		defer cancel()
+		readAcks(ctx, s, r, acks)
+	}()
+	defer func() { r.Detach(time.Now()) }()
+	sent, passed := from, from
+	for {
+		for sent-passed >= Window {
+			select {
+			case passed = <-acks:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case passed = <-acks:
+		default:
+		}
+		events, end, err := r.Wait(ctx, sent, min(eventLimit, Window-(sent-passed)))
+		if err != nil {
+			return
+		}
+		if end != nil {
+			_ = s.Send(ctx, wire.KindEnd, wire.Encode(*end))
+			return
+		}
+		if s.Send(ctx, wire.KindEvents, wire.Encode(wire.Events{First: sent, Items: events})) != nil {
+			return
+		}
+		sent += len(events)
+	}
+}
+
+// readAcks keeps the newest acknowledgement for the sender, and cancels the run when asked to.
+func readAcks(ctx context.Context, s *peer.Stream, r *run.Run, acks chan int) {
+	for {
+		f, err := s.Receive(ctx)
+		if err != nil {
+			return
+		}
+		switch f.Kind {
+		case wire.KindCancel:
+			if c, err := wire.Decode[wire.Cancel](f.Body); err == nil && c.Stop {
+				r.Cancel()
+			}
+			return
+		case wire.KindAck:
+			ack, err := wire.Decode[wire.Ack](f.Body)
+			if err != nil {
+				return
+			}
+			select {
+			case <-acks:
+			default:
+			}
+			acks <- ack.Passed
+		}
+	}
+}
--- /dev/null
+++ b/standin/embedded/embedded.go
@@ -0,0 +1,166 @@
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/router"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/standin/site"
+	"go.uber.org/zap"
+)
+
+const (
+	readyTimeout = 10 * time.Second
+	readyPeriod  = 5 * time.Millisecond
+)
+
+type (
+	// Change adapts the settings of a router before it starts.
+	Change func(*settings.Settings)
+
+	// Options say how the routers are run.
+	Options struct {
+		Routers int
+		Log     *zap.Logger
+		Change  Change
+		// Point returns the function that a router calls where a request passes a step.
+		Point func(id ident.Router) func(step string, request ident.Request)
+	}
+
+	// Deployment is a site with its routers.
+	Deployment struct {
+		Site        *site.Site
+		OperatorKey string
+		mu          sync.Mutex
+		nodes       []*Node
+		options     Options
+	}
+
+	// Node is one router of a deployment.
+	Node struct {
+		Router   *router.Router
+		Settings settings.Settings
+		stop     context.CancelFunc
+		done     chan error
+	}
+)
+
+// Start runs a site and its routers, and returns once every router is ready and sees the others.
+func Start(p site.Plan, o Options) (*Deployment, error) {
+	s, err := site.Start(p)
+	if err != nil {
+		return nil, err
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	d := &Deployment{Site: s, OperatorKey: site.NewKey(), options: o}
+	for i := range o.Routers {
+		if _, err := d.AddRouter(ident.Router(fmt.Sprintf("router-%d", i+1)), p.Domains[i%len(p.Domains)]); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.AwaitReady()
+}
+
+// AddRouter starts one more router and lists it.
+func (d *Deployment) AddRouter(id ident.Router, domain ident.Domain) (*Node, error) {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	v, err := d.Site.Settings(id, domain, callers.Addr().String(), peers.Addr().String(), d.OperatorKey)
+	if err != nil {
+		return nil, err
+	}
+	if d.options.Change != nil {
+		d.options.Change(&v)
+	}
+	d.Site.ListRouter(v)
+	return d.run(v, router.Options{Callers: callers, Peers: peers})
+}
+
+// Restart starts a router again on the addresses that it had.
+func (d *Deployment) Restart(n *Node) (*Node, error) { return d.run(n.Settings, router.Options{}) }
+
+// Nodes returns the routers started so far, the stopped ones included.
+func (d *Deployment) Nodes() []*Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*Node(nil), d.nodes...)
+}
+
+// Addresses returns where callers connect to, as "http://IP:port".
+func (d *Deployment) Addresses() []string {
+	var list []string
+	for _, n := range d.Nodes() {
+		list = append(list, "http://"+n.Router.CallerAddress())
+	}
+	return list
+}
+
+// AwaitReady waits until every router is ready and sees all others.
+func (d *Deployment) AwaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, n := range d.Nodes() {
+		for !n.Router.Ready() || n.Router.Peers() < len(d.Nodes()) {
+			if time.Now().After(deadline) {
+				return errors.Errorf("router %s was not ready in %s", n.Settings.Router.ID, readyTimeout)
+			}
+			time.Sleep(readyPeriod)
+		}
+	}
+	return nil
+}
+
+// Close shuts the routers down at once and then the stand-ins.
+func (d *Deployment) Close() {
+	for _, n := range d.Nodes() {
+		n.Kill()
+	}
+	for _, n := range d.Nodes() {
+		_ = n.Wait()
+	}
+	d.Site.Close()
+}
+
+// Stop asks the router to shut down gracefully.
+func (n *Node) Stop() { n.stop() }
+
+// Kill ends the router at once, as a crash would.
+func (n *Node) Kill() { n.Router.Kill() }
+
+// Wait returns once the router has ended.
+func (n *Node) Wait() error {
+	err := <-n.done
+	n.done <- err
+	return err
+}
+
+func (d *Deployment) run(v settings.Settings, o router.Options) (*Node, error) {
+	o.Log = d.options.Log.With(zap.String("router", string(v.Router.ID)))
+	if d.options.Point != nil {
+		o.Point = d.options.Point(v.Router.ID)
+	}
+	r, err := router.New(v, o, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{Router: r, Settings: v, stop: stop, done: make(chan error, 1)}
+	go func() { n.done <- r.Run(ctx) }()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes = append(d.nodes, n)
+	return n, nil
+}
--- /dev/null
+++ b/standin/kv/kv.go
@@ -0,0 +1,391 @@
+package kv
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const sweepPeriod = 100 * time.Millisecond
+
+type (
+	// Server is the stand-in; it is an http.Handler.
+	Server struct {
+		mux     *http.ServeMux
+		mu      sync.Mutex
+		entries map[string]entry
+		history []event
+		rev     int64
+		leases  map[int64]lease
+		nextID  int64
+		changed chan struct{}
+		faults  Faults
+		stats   Stats
+	}
+
+	// Faults are switched on by POST /standin/faults.
+	Faults struct {
+		// Down answers every call with 503 and ends the watches.
+		Down bool `json:"down"`
+		// DelayMs delays every call.
+		DelayMs int `json:"delayMs"`
+		// DropReplies carries out that many transactions without answering them.
+		DropReplies int `json:"dropReplies"`
+	}
+
+	// Stats counts the calls since the start.
+	Stats struct {
+		Reads   int64 `json:"reads"`
+		Writes  int64 `json:"writes"`
+		Watches int64 `json:"watches"`
+	}
+
+	entry struct {
+		value []byte
+		mod   int64
+		lease int64
+	}
+
+	lease struct {
+		ttl     time.Duration
+		expires time.Time
+	}
+
+	event struct {
+		rev     int64
+		key     string
+		value   []byte
+		deleted bool
+	}
+)
+
+// New returns an empty store.
+func New() *Server {
+	s := &Server{
+		mux: http.NewServeMux(), entries: make(map[string]entry), leases: make(map[int64]lease),
+		changed: make(chan struct{}), rev: 1,
+	}
+	s.mux.HandleFunc("POST /v3/kv/range", s.guard(s.serveRange))
+	s.mux.HandleFunc("POST /v3/kv/txn", s.guard(s.serveTxn))
+	s.mux.HandleFunc("POST /v3/kv/put", s.guard(s.servePut))
+	s.mux.HandleFunc("POST /v3/lease/grant", s.guard(s.serveGrant))
+	s.mux.HandleFunc("POST /v3/lease/keepalive", s.guard(s.serveKeepAlive))
+	s.mux.HandleFunc("POST /v3/watch", s.guard(s.serveWatch))
+	s.mux.HandleFunc("POST /standin/faults", s.serveFaults)
+	s.mux.HandleFunc("GET /standin/stats", s.serveStats)
+	return s
+}
+
+// ServeHTTP serves the gateway's calls.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults switches faults on and off.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Put writes a value as an operator's own tool would, without a condition.
+func (s *Server) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.write(operation{Put: &putRequest{Key: []byte(key), Value: value}})
+	s.wake()
+	return s.rev
+}
+
+// Keys returns the keys under a prefix, in order.
+func (s *Server) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.entries {
+		if len(k) >= len(prefix) && k[:len(prefix)] == prefix {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Stats returns the counts since the start.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		if f.DelayMs > 0 {
+			select {
+			case <-time.After(time.Duration(f.DelayMs) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
+	var req rangeRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	s.stats.Reads++
+	s.expire(time.Now())
+	resp := s.read(req)
+	s.mu.Unlock()
+	reply(w, resp)
+}
+
+func (s *Server) servePut(w http.ResponseWriter, r *http.Request) {
+	var req putRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	rev := s.Put(string(req.Key), req.Value)
+	s.mu.Lock()
+	s.stats.Writes++
+	s.mu.Unlock()
+	reply(w, struct {
+		Header header `json:"header"`
+	}{header{rev}})
+}
+
+func (s *Server) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var req txnRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	s.stats.Writes++
+	s.expire(time.Now())
+	resp := s.commit(req)
+	drop := s.faults.DropReplies > 0
+	if drop {
+		s.faults.DropReplies--
+	}
+	s.mu.Unlock()
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, resp)
+}
+
+func (s *Server) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var req leaseMessage
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	s.stats.Writes++
+	s.nextID++
+	ttl := time.Duration(req.TTL) * time.Second
+	s.leases[s.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	resp := leaseMessage{ID: s.nextID, TTL: req.TTL}
+	s.mu.Unlock()
+	reply(w, resp)
+}
+
+func (s *Server) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var req leaseMessage
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	s.stats.Writes++
+	s.expire(time.Now())
+	resp := leaseMessage{ID: req.ID}
+	if l, ok := s.leases[req.ID]; ok {
+		l.expires = time.Now().Add(l.ttl)
+		s.leases[req.ID] = l
+		resp.TTL = int64(l.ttl / time.Second)
+	}
+	s.mu.Unlock()
+	reply(w, struct {
+		Result leaseMessage `json:"result"`
+	}{resp})
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req watchRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	s.stats.Watches++
+	next := req.Create.StartRevision
+	if next == 0 {
+		next = s.rev + 1
+	}
+	s.mu.Unlock()
+	flusher, _ := w.(http.Flusher)
+	out := json.NewEncoder(w)
+	for {
+		s.mu.Lock()
+		s.expire(time.Now())
+		message, through := s.since(req.Create, next)
+		changed, down := s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return
+		}
+		if len(message.Result.Events) > 0 {
+			_ = out.Encode(message)
+		}
+		next = through + 1
+		flusher.Flush()
+		select {
+		case <-changed:
+		case <-time.After(sweepPeriod):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	s.SetFaults(f)
+	reply(w, f)
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) { reply(w, s.Stats()) }
+
+func (s *Server) read(req rangeRequest) rangeResponse {
+	resp := rangeResponse{Header: header{s.rev}}
+	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
+		if !inRange(k, req.Key, req.RangeEnd) {
+			continue
+		}
+		if req.Limit > 0 && int64(len(resp.Kvs)) >= req.Limit {
+			resp.More = true
+			break
+		}
+		resp.Kvs = append(resp.Kvs, keyValue{Key: []byte(k), Value: s.entries[k].value, ModRevision: s.entries[k].mod})
+	}
+	return resp
+}
+
+func (s *Server) commit(req txnRequest) txnResponse {
+	held := true
+	for _, c := range req.Compare {
+		held = held && s.entries[string(c.Key)].mod == c.ModRevision
+	}
+	resp := txnResponse{Succeeded: held}
+	operations := req.Failure
+	if held {
+		operations = req.Success
+		s.rev++
+	}
+	for _, op := range operations {
+		if op.Range != nil {
+			found := s.read(*op.Range)
+			resp.Responses = append(resp.Responses, response{Range: &found})
+			continue
+		}
+		s.write(op)
+		resp.Responses = append(resp.Responses, response{})
+	}
+	resp.Header = header{s.rev}
+	s.wake()
+	return resp
+}
+
+// write carries out one put or delete at the present revision.
+func (s *Server) write(op operation) {
+	switch {
+	case op.Put != nil:
+		key := string(op.Put.Key)
+		s.entries[key] = entry{value: op.Put.Value, mod: s.rev, lease: op.Put.Lease}
+		s.history = append(s.history, event{rev: s.rev, key: key, value: op.Put.Value})
+	case op.Delete != nil:
+		s.remove(string(op.Delete.Key))
+	}
+}
+
+func (s *Server) remove(key string) {
+	if _, ok := s.entries[key]; !ok {
+		return
+	}
+	delete(s.entries, key)
+	s.history = append(s.history, event{rev: s.rev, key: key, deleted: true})
+}
+
+// expire deletes the entries of leases that ran out.
+func (s *Server) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		s.rev++
+		for k, e := range s.entries {
+			if e.lease == id {
+				s.remove(k)
+			}
+		}
+		s.wake()
+	}
+}
+
+func (s *Server) since(create watchCreate, from int64) (watchMessage, int64) {
+	var m watchMessage
+	first, _ := slices.BinarySearchFunc(s.history, from, func(e event, rev int64) int { return int(e.rev - rev) })
+	for _, e := range s.history[first:] {
+		if !inRange(e.key, create.Key, create.RangeEnd) {
+			continue
+		}
+		kind := "PUT"
+		if e.deleted {
+			kind = "DELETE"
+		}
+		m.Result.Events = append(m.Result.Events, watchEvent{Type: kind, Kv: keyValue{Key: []byte(e.key), Value: e.value, ModRevision: e.rev}})
+	}
+	return m, s.rev
+}
+
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func inRange(key string, from, end []byte) bool {
+	if len(end) == 0 {
+		return key == string(from)
+	}
+	return bytes.Compare([]byte(key), from) >= 0 && bytes.Compare([]byte(key), end) < 0
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, "bad request: "+strconv.Quote(err.Error()), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,167 @@
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const maxBody = 1 << 20
+
+type (
+	// Faults are switched on by POST /standin/faults.
+	Faults struct {
+		// SlowFactor multiplies the time that a call takes; 0 is 1.
+		SlowFactor float64 `json:"slowFactor"`
+		DelayMs    int     `json:"delayMs"`
+		// DropReply runs that many calls without answering them.
+		DropReply int `json:"dropReply"`
+		// Leaving refuses new calls without running them.
+		Leaving bool `json:"leaving"`
+	}
+
+	// Entry is one call in the log.
+	Entry struct {
+		RequestID      ident.Request `json:"requestId"`
+		IdempotencyKey string        `json:"idempotencyKey"`
+		Path           string        `json:"path"`
+		StartedAtMs    int64         `json:"startedAtMs"`
+		EndedAtMs      int64         `json:"endedAtMs"`
+		Outcome        string        `json:"outcome"`
+		PeakRunning    int           `json:"peakRunning"`
+	}
+
+	// Service is the stand-in.
+	Service struct {
+		id     ident.Engine
+		ln     net.Listener
+		server *http.Server
+		took   time.Duration
+
+		mu      sync.Mutex
+		faults  Faults
+		log     []*Entry
+		running int
+		peak    int
+	}
+)
+
+// Start serves a service on a listener; took is how long a call takes.
+func Start(id ident.Engine, took time.Duration, ln net.Listener) *Service {
+	s := &Service{id: id, ln: ln, took: took}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /bookings", s.serveBooking)
+	mux.HandleFunc("GET /catalogue", s.serveCatalogue)
+	mux.HandleFunc("GET /standin/log", s.serveLog)
+	mux.HandleFunc("POST /standin/faults", s.serveFaults)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(ln) }()
+	return s
+}
+
+// Address returns the IP number and port that the service serves on.
+func (s *Service) Address() string { return s.ln.Addr().String() }
+
+// Close stops the service.
+func (s *Service) Close() { _ = s.server.Close() }
+
+// SetFaults switches faults on and off.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Log returns a copy of the log.
+func (s *Service) Log() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Entry, len(s.log))
+	for i, e := range s.log {
+		list[i] = *e
+		list[i].PeakRunning = s.peak
+	}
+	return list
+}
+
+// serveBooking books once for each call; it does not check keys, as not every service does.
+func (s *Service) serveBooking(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	s.run(w, r, func(n int) any {
+		return struct {
+			Booking string          `json:"booking"`
+			For     json.RawMessage `json:"for"`
+		}{fmt.Sprintf("%s-%d", s.id, n), json.RawMessage(body)}
+	})
+}
+
+func (s *Service) serveCatalogue(w http.ResponseWriter, r *http.Request) {
+	s.run(w, r, func(int) any {
+		return struct {
+			Bells []string `json:"bells"`
+		}{[]string{"Brest 1903", "Morlaix 1911", "Lorient 1908"}}
+	})
+}
+
+func (s *Service) run(w http.ResponseWriter, r *http.Request, answer func(n int) any) {
+	s.mu.Lock()
+	if s.faults.Leaving {
+		s.mu.Unlock()
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	entry := &Entry{
+		RequestID: ident.Request(r.Header.Get("X-Request-Id")), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Path: r.URL.Path, StartedAtMs: time.Now().UnixMilli(), Outcome: "running",
+	}
+	s.log = append(s.log, entry)
+	n := len(s.log)
+	s.running++
+	s.peak = max(s.peak, s.running)
+	took := s.took + time.Duration(s.faults.DelayMs)*time.Millisecond
+	if s.faults.SlowFactor > 0 {
+		took = time.Duration(float64(took) * s.faults.SlowFactor)
+	}
+	drop := s.faults.DropReply > 0
+	if drop {
+		s.faults.DropReply--
+	}
+	s.mu.Unlock()
+	time.Sleep(took)
+	s.mu.Lock()
+	s.running--
+	entry.Outcome = "completed"
+	entry.EndedAtMs = time.Now().UnixMilli()
+	s.mu.Unlock()
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, answer(n))
+}
+
+func (s *Service) serveLog(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Log()) }
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, f)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/site/describe.go
@@ -0,0 +1,133 @@
+package site
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+const fileMode = 0o600
+
+type (
+	// Description tells tools where everything is; addresses are "http://IP:port".
+	Description struct {
+		Routers       []string       `json:"routers"`
+		Organisations []Organisation `json:"organisations"`
+		OperatorKey   string         `json:"operatorKey"`
+		Engines       []EngineInfo   `json:"engines"`
+		Services      []ServiceInfo  `json:"services"`
+		Store         string         `json:"store"`
+		Instances     string         `json:"instances"`
+	}
+
+	// EngineInfo is one engine stand-in.
+	EngineInfo struct {
+		ID            string       `json:"id"`
+		Model         ident.Model  `json:"model"`
+		FailureDomain ident.Domain `json:"failureDomain"`
+		Address       string       `json:"address"`
+	}
+
+	// ServiceInfo is one instance of a service stand-in.
+	ServiceInfo struct {
+		Name    ident.Service `json:"name"`
+		ID      string        `json:"id"`
+		Address string        `json:"address"`
+	}
+)
+
+// Describe returns where the stand-ins and the given routers are.
+func (s *Site) Describe(routers []string, operatorKey string) Description {
+	d := Description{
+		Routers: routers, Organisations: s.Organisations, OperatorKey: operatorKey,
+		Store: "http://" + s.StoreAddress(), Instances: "http://" + s.InstancesAddress(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.instances {
+		switch i.Role {
+		case fleet.RoleEngine:
+			d.Engines = append(d.Engines, EngineInfo{ID: i.ID, Model: s.Plan.Model, FailureDomain: i.FailureDomain, Address: "http://" + i.Address})
+		case fleet.RoleService:
+			d.Services = append(d.Services, ServiceInfo{Name: i.Service, ID: i.ID, Address: "http://" + i.Address})
+		}
+	}
+	return d
+}
+
+// WriteFile writes the description as JSON.
+func (d Description) WriteFile(name string) error {
+	body, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode description")
+	}
+	return errors.Wrap(os.WriteFile(name, append(body, '\n'), fileMode), "write description")
+}
+
+// Settings returns the settings of a router of this site, on the given addresses.
+func (s *Site) Settings(id ident.Router, domain ident.Domain, callers, peers string, operatorKey string) (settings.Settings, error) {
+	var v settings.Settings
+	v.Router.ID = id
+	v.Router.FailureDomain = domain
+	v.Operators.KeyHash = lists.HashKey(operatorKey)
+	v.Services = []settings.Service{{Name: DeskService, Unrepeatable: []string{"POST /bookings"}}}
+	for _, a := range []struct {
+		field *tomlfile.Address
+		value string
+	}{{&v.Router.Callers, callers}, {&v.Router.Peers, peers}, {&v.Platform.Store, s.StoreAddress()}, {&v.Platform.Instances, s.InstancesAddress()}} {
+		parsed, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			return v, errors.Wrap(err, "address of a stand-in")
+		}
+		a.field.AddrPort = parsed
+	}
+	v.Default()
+	return v, nil
+}
+
+// WriteSettings writes one settings file for each router into a directory, and returns the routers' caller addresses.
+func (s *Site) WriteSettings(dir string, all []settings.Settings) ([]string, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "create directory")
+	}
+	var addresses []string
+	for _, v := range all {
+		body, err := toml.Marshal(v)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode settings")
+		}
+		if err := os.WriteFile(filepath.Join(dir, string(v.Router.ID)+".toml"), body, fileMode); err != nil {
+			return nil, errors.Wrap(err, "write settings")
+		}
+		addresses = append(addresses, "http://"+v.Router.Callers.String())
+	}
+	return addresses, nil
+}
+
+// ListRouter lists a router of the site.
+func (s *Site) ListRouter(v settings.Settings) {
+	s.AddInstance(fleet.Instance{
+		ID: string(v.Router.ID), Role: fleet.RoleRouter, Address: v.Router.Callers.String(), PeerAddress: v.Router.Peers.String(),
+		FailureDomain: v.Router.FailureDomain, State: fleet.StateLive,
+	})
+}
+
+// FreeAddress returns a loopback address whose port was free a moment ago.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,234 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/standin/engine"
+	"github.com/vanillaroute/vanillaroute/standin/kv"
+	"github.com/vanillaroute/vanillaroute/standin/service"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+
+	// DeskService is the name of the service whose bookings may not repeat.
+	DeskService ident.Service = "desk"
+)
+
+type (
+	// Plan says what a site is made of.
+	Plan struct {
+		Domains       []ident.Domain
+		Model         ident.Model
+		Engines       int
+		Desks         int
+		Organisations int
+		Engine        engine.Shape
+		DeskTime      time.Duration
+	}
+
+	// Organisation is a customer with its key in the clear, for callers of the stand-ins.
+	Organisation struct {
+		Name ident.Organisation `json:"name"`
+		Key  string             `json:"key"`
+	}
+
+	// Site is the running stand-ins.
+	Site struct {
+		Plan          Plan
+		Store         *kv.Server
+		Engines       []*engine.Engine
+		Desks         []*service.Service
+		Organisations []Organisation
+
+		storeLn, listLn net.Listener
+		servers         []*http.Server
+		mu              sync.Mutex
+		instances       []fleet.Instance
+		published       []timedList
+		lag             time.Duration
+	}
+
+	timedList struct {
+		at   time.Time
+		list []fleet.Instance
+	}
+)
+
+// Museum returns the plan of a site as large as the museum's.
+func Museum() Plan {
+	return Plan{
+		Domains: []ident.Domain{"brest", "morlaix", "lorient"}, Model: "bell-assistant",
+		Engines: 10, Desks: 3, Organisations: 10, DeskTime: 5 * time.Millisecond,
+		Engine: engine.Shape{
+			Slots: 8, CacheTokens: 64 << 10, PrefillToken: 100 * time.Microsecond, DecodeToken: 5 * time.Millisecond,
+			BatchSlowdown: 0.05, DefaultTokens: 32,
+		},
+	}
+}
+
+// Start runs the stand-ins of a plan on loopback ports.
+func Start(p Plan) (*Site, error) {
+	s := &Site{Plan: p, Store: kv.New()}
+	for i := range p.Engines {
+		if _, err := s.AddEngine(fmt.Sprintf("engine-%02d", i+1), p.Domains[i%len(p.Domains)]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range p.Desks {
+		ln, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen for service")
+		}
+		id := fmt.Sprintf("desk-%d", i+1)
+		s.Desks = append(s.Desks, service.Start(ident.Engine(id), p.DeskTime, ln))
+		s.AddInstance(fleet.Instance{
+			ID: id, Role: fleet.RoleService, Address: ln.Addr().String(), FailureDomain: p.Domains[i%len(p.Domains)],
+			State: fleet.StateLive, Service: DeskService,
+		})
+	}
+	s.writeLists()
+	return s, s.serve()
+}
+
+// AddEngine starts one more engine and lists it.
+func (s *Site) AddEngine(id string, domain ident.Domain) (*engine.Engine, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for engine")
+	}
+	shape := s.Plan.Engine
+	shape.ID = ident.Engine(id)
+	shape.Models = []ident.Model{s.Plan.Model}
+	e := engine.Start(shape, ln)
+	s.mu.Lock()
+	s.Engines = append(s.Engines, e)
+	s.mu.Unlock()
+	s.AddInstance(fleet.Instance{
+		ID: id, Role: fleet.RoleEngine, Address: ln.Addr().String(), FailureDomain: domain,
+		State: fleet.StateLive, Models: shape.Models, Slots: shape.Slots,
+	})
+	return e, nil
+}
+
+// AddInstance lists an instance.
+func (s *Site) AddInstance(i fleet.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = append(s.instances, i)
+	s.publish()
+}
+
+// RemoveInstance takes an instance off the list.
+func (s *Site) RemoveInstance(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = slices.DeleteFunc(s.instances, func(i fleet.Instance) bool { return i.ID == id })
+	s.publish()
+}
+
+// SetLag makes the list show what was true some time ago.
+func (s *Site) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// StoreAddress returns the address of the key-value service.
+func (s *Site) StoreAddress() string { return s.storeLn.Addr().String() }
+
+// InstancesAddress returns the address of the list of instances.
+func (s *Site) InstancesAddress() string { return s.listLn.Addr().String() }
+
+// Close stops all stand-ins.
+func (s *Site) Close() {
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	for _, d := range s.Desks {
+		d.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+func (s *Site) serve() error {
+	var err error
+	if s.storeLn, err = net.Listen("tcp", loopback); err != nil {
+		return errors.Wrap(err, "listen for store")
+	}
+	if s.listLn, err = net.Listen("tcp", loopback); err != nil {
+		return errors.Wrap(err, "listen for list")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", s.serveInstances)
+	for _, pair := range []struct {
+		ln      net.Listener
+		handler http.Handler
+	}{{s.storeLn, s.Store}, {s.listLn, mux}} {
+		server := &http.Server{Handler: pair.handler, ReadHeaderTimeout: time.Second}
+		s.servers = append(s.servers, server)
+		go func() { _ = server.Serve(pair.ln) }()
+	}
+	return nil
+}
+
+func (s *Site) serveInstances(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	shown := []fleet.Instance{}
+	for i, p := range s.published {
+		if i == 0 || time.Since(p.at) >= s.lag {
+			shown = p.list
+		}
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(shown)
+}
+
+// publish keeps the list as it is now; the lock is held.
+func (s *Site) publish() {
+	s.published = append(s.published, timedList{at: time.Now(), list: slices.Clone(s.instances)})
+}
+
+// writeLists gives every organisation a plan, the first ones the large one.
+func (s *Site) writeLists() {
+	const large = 3
+	put := func(key string, v any) {
+		if value, err := json.Marshal(v); err == nil {
+			s.Store.Put(key, value)
+		}
+	}
+	for _, a := range []lists.Allowance{
+		{Plan: "large", RequestsPerSecond: 2000, TokensPerSecond: 2_000_000, Concurrency: 2000},
+		{Plan: "small", RequestsPerSecond: 200, TokensPerSecond: 200_000, Concurrency: 200},
+	} {
+		a.Models = []ident.Model{s.Plan.Model}
+		a.Services = []ident.Service{DeskService}
+		put(a.Key(), a)
+	}
+	for i := range s.Plan.Organisations {
+		plan := ident.Plan("small")
+		if i < large {
+			plan = "large"
+		}
+		o := Organisation{Name: ident.Organisation(fmt.Sprintf("organisation-%02d", i+1)), Key: NewKey()}
+		s.Organisations = append(s.Organisations, o)
+		entry := lists.PlanEntry{Organisation: o.Name, Plan: plan, KeyHashes: []string{lists.HashKey(o.Key)}}
+		put(entry.Key(), entry)
+	}
+}
+
+// NewKey returns a random key for an organisation or for operators.
+func NewKey() string { return "vk-" + string(ident.NewRequest()) + string(ident.NewRequest()) }
--- /dev/null
+++ b/version/apply/doc.go
@@ -0,0 +1,2 @@
+// Package apply commits an operator's edited lists to the store entry by entry, by compare-and-swap.
+package apply
--- /dev/null
+++ b/version/config/state.go
@@ -0,0 +1,328 @@
+package config
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+const (
+	// Buckets is how many parts the entries are compared in.
+	Buckets = 64
+	// TombstoneLife is how long a deleted entry is remembered.
+	TombstoneLife = 24 * time.Hour
+)
+
+type (
+	// State is the configuration in force; an entry never goes back to a lower revision.
+	State struct {
+		mu         sync.RWMutex
+		entries    map[string]held
+		plans      map[ident.Organisation]lists.PlanEntry
+		allowances map[ident.Plan]lists.Allowance
+		owners     map[string]ident.Organisation
+		rejected   map[string]Rejected
+		sums       [Buckets]uint64
+		highest    ident.Revision
+		ready      bool
+	}
+
+	// Rejected is an entry that does not check, while the last good one stays in force.
+	Rejected struct {
+		Key      string         `json:"key"`
+		Revision ident.Revision `json:"revision"`
+		Reason   string         `json:"reason"`
+	}
+
+	held struct {
+		value    []byte
+		revision ident.Revision
+		deleted  bool
+		since    time.Time
+	}
+)
+
+// New returns a state without entries that is not ready.
+func New() *State {
+	return &State{
+		entries:    make(map[string]held),
+		plans:      make(map[ident.Organisation]lists.PlanEntry),
+		allowances: make(map[ident.Plan]lists.Allowance),
+		owners:     make(map[string]ident.Organisation),
+		rejected:   make(map[string]Rejected),
+	}
+}
+
+// Apply takes the entries that are newer than the ones in force, and returns them.
+func (s *State) Apply(entries []wire.Entry, now time.Time) []wire.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fresh []wire.Entry
+	for _, e := range entries {
+		if s.apply(e, now) {
+			fresh = append(fresh, e)
+		}
+	}
+	return fresh
+}
+
+// ApplyAll takes all entries of the store as of a revision: what it lacks was deleted by then.
+func (s *State) ApplyAll(entries []wire.Entry, at ident.Revision, now time.Time) []wire.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[string]bool, len(entries))
+	var fresh []wire.Entry
+	for _, e := range entries {
+		present[e.Key] = true
+		if s.apply(e, now) {
+			fresh = append(fresh, e)
+		}
+	}
+	for key, h := range s.entries {
+		gone := wire.Entry{Key: key, Revision: at}
+		if !present[key] && !h.deleted && h.revision <= at && s.apply(gone, now) {
+			fresh = append(fresh, gone)
+		}
+	}
+	s.highest = max(s.highest, at)
+	s.ready = true
+	return fresh
+}
+
+// SetReady notes that the entries taken so far are the whole configuration.
+func (s *State) SetReady() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = true
+}
+
+// Ready reports whether the whole configuration was read.
+func (s *State) Ready() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.ready
+}
+
+// Authenticate returns the organisation that owns a key.
+func (s *State) Authenticate(key string) (lists.PlanEntry, bool) {
+	hash := lists.HashKey(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	org, ok := s.owners[hash]
+	if !ok {
+		return lists.PlanEntry{}, false
+	}
+	plan := s.plans[org]
+	for _, h := range plan.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(h), []byte(hash)) == 1 {
+			return plan, true
+		}
+	}
+	return lists.PlanEntry{}, false
+}
+
+// Allowance returns what a plan may use.
+func (s *State) Allowance(p ident.Plan) (lists.Allowance, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a, ok := s.allowances[p]
+	return a, ok
+}
+
+// PlanOf returns the plan of an organisation.
+func (s *State) PlanOf(org ident.Organisation) (lists.PlanEntry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p, ok := s.plans[org]
+	return p, ok
+}
+
+// Entries returns every entry that is not deleted, by key.
+func (s *State) Entries() []wire.Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var all []wire.Entry
+	for k, h := range s.entries {
+		if !h.deleted {
+			all = append(all, wire.Entry{Key: k, Value: h.value, Revision: h.revision})
+		}
+	}
+	slices.SortFunc(all, func(a, b wire.Entry) int { return compareKeys(a.Key, b.Key) })
+	return all
+}
+
+// Rejected returns the entries that do not check, by key.
+func (s *State) Rejected() []Rejected {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]Rejected, 0, len(s.rejected))
+	for _, r := range s.rejected {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b Rejected) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+// Digest summarises the entries for comparison.
+func (s *State) Digest() wire.Digest {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	d := wire.Digest{Highest: s.highest}
+	for i, sum := range s.sums {
+		d.Sum ^= sum * uint64(2*i+1)
+	}
+	return d
+}
+
+// Sums returns the sum of each bucket.
+func (s *State) Sums() []uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.sums[:])
+}
+
+// Known returns the keys and revisions in some buckets, without values.
+func (s *State) Known(buckets []uint8) []wire.Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var known []wire.Entry
+	for k, h := range s.entries {
+		if slices.Contains(buckets, bucketOf(k)) {
+			known = append(known, wire.Entry{Key: k, Revision: h.revision})
+		}
+	}
+	return known
+}
+
+// Newer returns the entries in some buckets, deleted ones included, that are newer than what is known.
+func (s *State) Newer(buckets []uint8, known []wire.Entry) []wire.Entry {
+	revisions := make(map[string]ident.Revision, len(known))
+	for _, e := range known {
+		revisions[e.Key] = e.Revision
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var newer []wire.Entry
+	for k, h := range s.entries {
+		if slices.Contains(buckets, bucketOf(k)) && h.revision > revisions[k] {
+			newer = append(newer, wire.Entry{Key: k, Value: h.value, Revision: h.revision})
+		}
+	}
+	return newer
+}
+
+// Sweep forgets deleted entries past their life.
+func (s *State) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, h := range s.entries {
+		if h.deleted && now.Sub(h.since) >= TombstoneLife {
+			delete(s.entries, k)
+		}
+	}
+}
+
+// Differing returns the buckets whose sums differ.
+func Differing(a, b []uint64) []uint8 {
+	var list []uint8
+	for i := range min(len(a), len(b), Buckets) {
+		if a[i] != b[i] {
+			list = append(list, uint8(i))
+		}
+	}
+	return list
+}
+
+func (s *State) apply(e wire.Entry, now time.Time) bool {
+	old, ok := s.entries[e.Key]
+	if ok && e.Revision <= old.revision {
+		return false
+	}
+	next := held{value: e.Value, revision: e.Revision, deleted: len(e.Value) == 0, since: now}
+	s.entries[e.Key] = next
+	s.highest = max(s.highest, e.Revision)
+	bucket := bucketOf(e.Key)
+	if ok && !old.deleted {
+		s.sums[bucket] ^= entrySum(e.Key, old.revision)
+	}
+	if next.deleted {
+		s.remove(e.Key)
+		return true
+	}
+	s.sums[bucket] ^= entrySum(e.Key, e.Revision)
+	s.enforce(e)
+	return true
+}
+
+// enforce puts an entry into force if it checks, and otherwise keeps the last good one.
+func (s *State) enforce(e wire.Entry) {
+	plan, allowance, err := lists.DecodeValue(e.Key, e.Value)
+	if err != nil {
+		s.rejected[e.Key] = Rejected{Key: e.Key, Revision: e.Revision, Reason: err.Error()}
+		return
+	}
+	delete(s.rejected, e.Key)
+	if allowance != nil {
+		s.allowances[allowance.Plan] = *allowance
+		return
+	}
+	s.disown(plan.Organisation)
+	s.plans[plan.Organisation] = *plan
+	for _, h := range plan.KeyHashes {
+		s.owners[h] = plan.Organisation
+	}
+}
+
+func (s *State) remove(key string) {
+	delete(s.rejected, key)
+	for org, p := range s.plans {
+		if p.Key() == key {
+			s.disown(org)
+			delete(s.plans, org)
+			return
+		}
+	}
+	for plan, a := range s.allowances {
+		if a.Key() == key {
+			delete(s.allowances, plan)
+			return
+		}
+	}
+}
+
+func (s *State) disown(org ident.Organisation) {
+	for _, h := range s.plans[org].KeyHashes {
+		if s.owners[h] == org {
+			delete(s.owners, h)
+		}
+	}
+}
+
+func bucketOf(key string) uint8 { return uint8(xxhash.Sum64String(key) % Buckets) }
+
+func entrySum(key string, revision ident.Revision) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], uint64(revision))
+	_, _ = d.Write(raw[:])
+	return d.Sum64()
+}
+
+func compareKeys(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/version/fleet/fleet.go
@@ -0,0 +1,306 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	// ListDistrust is how long a list that lost most of its members must stay so before it is believed.
+	ListDistrust = 30 * time.Second
+
+	minTrustedList = 4
+	engineDownHold = 500 * time.Millisecond
+	engineDownMax  = 8 * time.Second
+	markLife       = time.Minute
+	// incarnationSpan is how far refutations may raise an incarnation, which starts at the time in nanoseconds.
+	incarnationSpan  = ident.Incarnation(time.Millisecond)
+	rumoursPerGossip = 16
+)
+
+type (
+	// Fleet joins the platform's list with the routers' heartbeats and the homes' sight of their engines.
+	Fleet struct {
+		self        ident.Router
+		mu          sync.Mutex
+		incarnation ident.Incarnation
+		leaving     bool
+		listed      map[string]Instance
+		shrunkSince time.Time
+		members     memberTable
+		marks       map[ident.Engine]mark
+		down        map[ident.Engine]downMark
+		view        atomic.Pointer[View]
+	}
+
+	mark struct {
+		leaving bool
+		at      time.Time
+	}
+
+	downMark struct {
+		until time.Time
+		hold  time.Duration
+	}
+)
+
+// New returns a fleet that knows of the router itself only.
+func New(self Instance, incarnation ident.Incarnation, now time.Time) *Fleet {
+	f := &Fleet{
+		self:        ident.Router(self.ID),
+		incarnation: incarnation,
+		listed:      map[string]Instance{self.ID: self},
+		members:     memberTable{},
+		marks:       make(map[ident.Engine]mark),
+		down:        make(map[ident.Engine]downMark),
+	}
+	f.members.heard(f.self, incarnation, false, now)
+	f.rebuild(now)
+	return f
+}
+
+// View returns the present picture.
+func (f *Fleet) View() *View { return f.view.Load() }
+
+// Self returns the router's own incarnation and whether it is leaving.
+func (f *Fleet) Self() (ident.Incarnation, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.incarnation, f.leaving
+}
+
+// Leave marks the router itself as leaving.
+func (f *Fleet) Leave(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+	f.members.heard(f.self, f.incarnation, true, now)
+	f.rebuild(now)
+}
+
+// ApplyList takes a new list of instances; a list that lost most of its members must first last for ListDistrust.
+func (f *Fleet) ApplyList(list []Instance, now time.Time) (believed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := make(map[string]Instance, len(list)+1)
+	for _, i := range list {
+		next[i.ID] = i
+	}
+	next[string(f.self)] = f.listed[string(f.self)]
+	if f.distrusts(next, now) {
+		return false
+	}
+	f.shrunkSince = time.Time{}
+	if maps.EqualFunc(f.listed, next, sameInstance) {
+		return true
+	}
+	f.listed = next
+	f.rebuild(now)
+	return true
+}
+
+// Heard notes a message from another router.
+func (f *Fleet) Heard(id ident.Router, inc ident.Incarnation, leaving bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members.heard(id, inc, leaving, now) {
+		f.rebuild(now)
+	}
+}
+
+// Suspect notes that a router could not be reached, by own and others' probes.
+func (f *Fleet) Suspect(id ident.Router, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members.suspect(id, now) {
+		f.rebuild(now)
+	}
+}
+
+// Merge applies what another router tells of the fleet, and refutes what it wrongly tells of this one.
+func (f *Fleet) Merge(news []wire.Member, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, n := range news {
+		if n.Router == f.self {
+			f.refute(n, now)
+			continue
+		}
+		changed = f.members.merge(n, now) || changed
+	}
+	if changed {
+		f.rebuild(now)
+	}
+}
+
+// Tick lets suspicions and holds run out.
+func (f *Fleet) Tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.members.tick(now)
+	for e, m := range f.marks {
+		if now.Sub(m.at) >= markLife {
+			delete(f.marks, e)
+			changed = true
+		}
+	}
+	for e, d := range f.down {
+		if now.Sub(d.until) >= markLife {
+			delete(f.down, e)
+		}
+	}
+	if changed {
+		f.rebuild(now)
+	}
+}
+
+// Rumours returns what is worth repeating of routers and engines.
+func (f *Fleet) Rumours(now time.Time) ([]wire.Member, []wire.EngineMark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	marks := make([]wire.EngineMark, 0, len(f.marks))
+	for e, m := range f.marks {
+		marks = append(marks, wire.EngineMark{Engine: e, Leaving: m.leaving, Age: now.Sub(m.at)})
+	}
+	return f.members.rumours(rumoursPerGossip), marks
+}
+
+// MarkEngine notes whether an engine is leaving, as its home saw it at that time.
+func (f *Fleet) MarkEngine(e ident.Engine, leaving bool, at, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old, known := f.marks[e]
+	if known && (!at.After(old.at) || old.leaving == leaving) {
+		return
+	}
+	if !known && !leaving {
+		return
+	}
+	f.marks[e] = mark{leaving: leaving, at: at}
+	f.rebuild(now)
+}
+
+// EngineDown notes that an engine could not be reached; the hold doubles while that repeats.
+func (f *Fleet) EngineDown(e ident.Engine, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.down[e]
+	if now.Before(d.until) {
+		return
+	}
+	d.hold = min(max(2*d.hold, engineDownHold), engineDownMax)
+	d.until = now.Add(d.hold)
+	f.down[e] = d
+}
+
+// EngineUp forgets that an engine could not be reached.
+func (f *Fleet) EngineUp(e ident.Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.down, e)
+}
+
+// IsDown reports whether an engine is held back after it could not be reached.
+func (f *Fleet) IsDown(e ident.Engine, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.down[e].until)
+}
+
+// Address returns where a router accepts its peers.
+func (f *Fleet) Address(id ident.Router) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, ok := f.listed[string(id)]
+	return i.PeerAddress, ok && i.Role == RoleRouter
+}
+
+// Listed returns the names of all other routers in the list, live or not.
+func (f *Fleet) Listed() []ident.Router {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []ident.Router
+	for id, i := range f.listed {
+		if i.Role == RoleRouter && id != string(f.self) {
+			ids = append(ids, ident.Router(id))
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// IsAlive reports whether a router is known and not dead.
+func (f *Fleet) IsAlive(id ident.Router) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	return ok && m.reachable()
+}
+
+// IsLife reports whether a router is not dead and has not been restarted since an incarnation began.
+func (f *Fleet) IsLife(id ident.Router, start ident.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	return ok && m.reachable() && m.incarnation-start < incarnationSpan
+}
+
+// refute answers a wrong word about this router with a higher incarnation.
+func (f *Fleet) refute(n wire.Member, now time.Time) {
+	if n.Incarnation < f.incarnation || n.State == Alive || (f.leaving && n.State == Leaving) {
+		return
+	}
+	f.incarnation = n.Incarnation + 1
+	f.members.heard(f.self, f.incarnation, f.leaving, now)
+}
+
+func (f *Fleet) distrusts(next map[string]Instance, now time.Time) bool {
+	kept := 0
+	for id := range f.listed {
+		if _, ok := next[id]; ok {
+			kept++
+		}
+	}
+	if len(f.listed) < minTrustedList || 2*kept >= len(f.listed) {
+		return false
+	}
+	if f.shrunkSince.IsZero() {
+		f.shrunkSince = now
+	}
+	return now.Sub(f.shrunkSince) < ListDistrust
+}
+
+func (f *Fleet) rebuild(now time.Time) {
+	var routers, placed, engines []Instance
+	for id, i := range f.listed {
+		if i.Role != RoleRouter {
+			if f.marks[ident.Engine(id)].leaving {
+				i.State = StateLeaving
+			}
+			engines = append(engines, i)
+			continue
+		}
+		m, ok := f.members[ident.Router(id)]
+		if !ok || !m.reachable() {
+			continue
+		}
+		routers = append(routers, i)
+		if m.placeable(now) {
+			placed = append(placed, i)
+		}
+	}
+	f.view.Store(newView(routers, placed, engines))
+}
+
+func sameInstance(a, b Instance) bool {
+	return a.ID == b.ID && a.Role == b.Role && a.Address == b.Address && a.PeerAddress == b.PeerAddress &&
+		a.FailureDomain == b.FailureDomain && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots &&
+		slices.Equal(a.Models, b.Models)
+}
--- /dev/null
+++ b/version/fleet/view.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/rank"
+)
+
+// Roles and states of an instance in the platform's list.
+const (
+	RoleRouter  Role = "router"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+type (
+	// Role says what an instance is for.
+	Role string
+
+	// State says whether an instance is to stay.
+	State string
+
+	// Instance is one entry of the platform's list.
+	Instance struct {
+		ID            string        `json:"id"`
+		Role          Role          `json:"role"`
+		Address       string        `json:"address"`
+		PeerAddress   string        `json:"peerAddress,omitempty"`
+		FailureDomain ident.Domain  `json:"failureDomain"`
+		State         State         `json:"state"`
+		Models        []ident.Model `json:"models,omitempty"`
+		Service       ident.Service `json:"service,omitempty"`
+		Slots         int           `json:"slots,omitempty"`
+	}
+
+	// View is an immutable picture of the fleet.
+	View struct {
+		routers  []Instance
+		placed   []Instance
+		members  []rank.Member
+		engines  map[ident.Engine]Instance
+		models   map[ident.Model][]Instance
+		services map[ident.Service][]Instance
+		homes    map[ident.Engine]ident.Router
+	}
+)
+
+// newView builds the picture from the instances in use; placed are the routers that may be homes.
+func newView(routers, placed, engines []Instance) *View {
+	v := &View{
+		routers:  sorted(routers),
+		placed:   sorted(placed),
+		engines:  make(map[ident.Engine]Instance),
+		models:   make(map[ident.Model][]Instance),
+		services: make(map[ident.Service][]Instance),
+		homes:    make(map[ident.Engine]ident.Router),
+	}
+	v.members = members(v.placed)
+	byDomain := make(map[ident.Domain][]rank.Member)
+	for _, r := range v.placed {
+		byDomain[r.FailureDomain] = append(byDomain[r.FailureDomain], rank.Member{Name: r.ID, Weight: 1})
+	}
+	for _, e := range sorted(engines) {
+		v.engines[ident.Engine(e.ID)] = e
+		near := byDomain[e.FailureDomain]
+		if len(near) == 0 {
+			near = v.members
+		}
+		if best := rank.Best(e.ID, near); best >= 0 {
+			v.homes[ident.Engine(e.ID)] = ident.Router(near[best].Name)
+		}
+		if e.State == StateLeaving {
+			continue
+		}
+		if e.Role == RoleService {
+			v.services[e.Service] = append(v.services[e.Service], e)
+			continue
+		}
+		for _, m := range e.Models {
+			v.models[m] = append(v.models[m], e)
+		}
+	}
+	return v
+}
+
+// Routers returns the live routers, the leaving ones included, by name.
+func (v *View) Routers() []Instance { return v.routers }
+
+// Placed returns the live routers that may take new work, by name.
+func (v *View) Placed() []Instance { return v.placed }
+
+// Engine returns the engine or service instance of that name.
+func (v *View) Engine(id ident.Engine) (Instance, bool) {
+	e, ok := v.engines[id]
+	return e, ok
+}
+
+// Engines returns every engine and service instance, by name.
+func (v *View) Engines() []Instance {
+	all := make([]Instance, 0, len(v.engines))
+	for _, e := range v.engines {
+		all = append(all, e)
+	}
+	return sorted(all)
+}
+
+// Models returns the models that some engine holds, by name.
+func (v *View) Models() []ident.Model {
+	names := make([]ident.Model, 0, len(v.models))
+	for m := range v.models {
+		names = append(names, m)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// OfModel returns the engines that hold the model and are not leaving.
+func (v *View) OfModel(m ident.Model) []Instance { return v.models[m] }
+
+// OfService returns the instances of the service that are not leaving.
+func (v *View) OfService(s ident.Service) []Instance { return v.services[s] }
+
+// HomeOf returns the home router of an engine, or "" where no router is live.
+func (v *View) HomeOf(e ident.Engine) ident.Router { return v.homes[e] }
+
+// HomeOfKey returns the home router of a key that belongs to no engine, or "" where no router is live.
+func (v *View) HomeOfKey(key string) ident.Router {
+	best := rank.Best(key, v.members)
+	if best < 0 {
+		return ""
+	}
+	return ident.Router(v.members[best].Name)
+}
+
+// Candidates returns the engines of a model in the order in which a key tries them, at most limit.
+func (v *View) Candidates(m ident.Model, key string, limit int) []Instance {
+	return ordered(v.models[m], key, limit)
+}
+
+// ServiceCandidates returns the instances of a service in the order in which a key tries them.
+func (v *View) ServiceCandidates(s ident.Service, key string, limit int) []Instance {
+	return ordered(v.services[s], key, limit)
+}
+
+// RoutersFor returns the placed routers in the order in which a key prefers them, at most limit.
+func (v *View) RoutersFor(key string, limit int) []Instance {
+	return ordered(v.placed, key, limit)
+}
+
+func ordered(all []Instance, key string, limit int) []Instance {
+	order := rank.Order(key, members(all), limit)
+	picked := make([]Instance, len(order))
+	for i, index := range order {
+		picked[i] = all[index]
+	}
+	return picked
+}
+
+func members(all []Instance) []rank.Member {
+	ms := make([]rank.Member, len(all))
+	for i, e := range all {
+		ms[i] = rank.Member{Name: e.ID, Weight: float64(max(e.Slots, 1))}
+	}
+	return ms
+}
+
+func sorted(all []Instance) []Instance {
+	s := slices.Clone(all)
+	slices.SortFunc(s, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
--- /dev/null
+++ b/version/rank/doc.go
@@ -0,0 +1,2 @@
+// Package rank orders members for a key by weighted rendezvous hashing.
+package rank
--- /dev/null
+++ b/version/rank/rank.go
@@ -0,0 +1,72 @@
+package rank
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const hashBits = 53
+
+// Member is something a key can be placed on.
+type Member struct {
+	Name   string
+	Weight float64
+}
+
+// Order returns the indexes of the best members for the key, best first, at most limit of them.
+func Order(key string, members []Member, limit int) []int {
+	type scored struct {
+		index int
+		score float64
+	}
+	all := make([]scored, 0, len(members))
+	seed := xxhash.Sum64String(key)
+	for i, m := range members {
+		all = append(all, scored{index: i, score: score(seed, m)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(members[a.index].Name, members[b.index].Name)
+	})
+	if limit < len(all) {
+		all = all[:limit]
+	}
+	order := make([]int, len(all))
+	for i, s := range all {
+		order[i] = s.index
+	}
+	return order
+}
+
+// Best returns the index of the best member for the key, or -1 where there is none.
+func Best(key string, members []Member) int {
+	best, top := -1, math.Inf(-1)
+	seed := xxhash.Sum64String(key)
+	for i, m := range members {
+		s := score(seed, m)
+		if s > top || (s == top && m.Name < members[best].Name) {
+			best, top = i, s
+		}
+	}
+	return best
+}
+
+func score(seed uint64, m Member) float64 {
+	h := mix(seed ^ xxhash.Sum64String(m.Name))
+	unit := (float64(h>>(64-hashBits)) + 0.5) / float64(uint64(1)<<hashBits)
+	return -m.Weight / math.Log(unit)
+}
+
+// mix spreads every input bit over the output, since an exclusive or of two hashes alone is symmetric.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/version/sums/sums.go
@@ -0,0 +1,93 @@
+package sums
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// Freshness is how long a router's report of its load counts.
+const Freshness = 3 * time.Second
+
+type (
+	// Table holds the last report of each router for each model.
+	Table struct {
+		mu      sync.Mutex
+		reports map[ident.Model]map[ident.Router]report
+	}
+
+	// Total is the load of a model over the fleet.
+	Total struct {
+		Running int
+		Engines int
+		// Gap is the median over routers of the time between tokens.
+		Gap time.Duration
+	}
+
+	report struct {
+		sum wire.ModelSum
+		at  time.Time
+	}
+)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{reports: make(map[ident.Model]map[ident.Router]report)}
+}
+
+// Update notes what a router reports of its models.
+func (t *Table) Update(from ident.Router, list []wire.ModelSum, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range list {
+		byRouter, ok := t.reports[s.Model]
+		if !ok {
+			byRouter = make(map[ident.Router]report)
+			t.reports[s.Model] = byRouter
+		}
+		byRouter[from] = report{sum: s, at: now}
+	}
+}
+
+// Total adds this router's exact load of a model to the fresh reports of the others.
+func (t *Table) Total(self ident.Router, own wire.ModelSum, now time.Time) Total {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := Total{Running: own.Running, Engines: own.Engines}
+	var gaps []int64
+	if own.GapMicros > 0 {
+		gaps = append(gaps, own.GapMicros)
+	}
+	for from, r := range t.reports[own.Model] {
+		if now.Sub(r.at) > Freshness {
+			delete(t.reports[own.Model], from)
+			continue
+		}
+		if from == self {
+			continue
+		}
+		total.Running += r.sum.Running
+		total.Engines += r.sum.Engines
+		if r.sum.GapMicros > 0 {
+			gaps = append(gaps, r.sum.GapMicros)
+		}
+	}
+	if len(gaps) > 0 {
+		slices.Sort(gaps)
+		total.Gap = time.Duration(gaps[(len(gaps)-1)/2]) * time.Microsecond
+	}
+	return total
+}
+
+// Bound returns how many requests an engine may hold when one more is to be placed: at least 1.
+func (t Total) Bound(loadBound, weight float64) int {
+	if t.Engines == 0 {
+		return 1
+	}
+	mean := float64(t.Running+1) / float64(t.Engines)
+	return max(1, int(math.Ceil(loadBound*mean*weight)))
+}
