--- /dev/null
+++ b/caller/stream.go
@@ -0,0 +1,221 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const maxLineBytes = 1 << 20
+
+type (
+	// Message is one message of a chat.
+	Message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+
+	// Chat is one streamed request.
+	Chat struct {
+		Model     ident.Model
+		Chat      ident.Chat
+		Class     ident.Class
+		Messages  []Message
+		MaxTokens int
+	}
+
+	// Event is one event of an answer.
+	Event struct {
+		ID   ident.Event
+		Text string
+	}
+
+	// Stream is an answer while it comes.
+	Stream struct {
+		client  *Client
+		ctx     context.Context
+		chat    Chat
+		last    string
+		next    int
+		text    bytes.Buffer
+		body    io.ReadCloser
+		lines   *bufio.Scanner
+		tries   int
+		Resumes int
+	}
+
+	// OrderError tells that an event came out of order or of another request.
+	OrderError struct {
+		Got  ident.Event
+		Want int
+	}
+)
+
+var errCut = errors.New("stream ended before its end mark")
+
+// Error names the event and the offset that was due.
+func (e *OrderError) Error() string {
+	return "event " + e.Got.String() + " came out of order"
+}
+
+// Stream sends a chat; it fails with *Error, or with the last connection's error after all routers were tried.
+func (c *Client) Stream(ctx context.Context, chat Chat) (*Stream, error) {
+	s := &Stream{client: c, ctx: ctx, chat: chat}
+	return s, s.connect()
+}
+
+// Text returns what came so far.
+func (s *Stream) Text() string { return s.text.String() }
+
+// Close ends the stream.
+func (s *Stream) Close() {
+	if s.body != nil {
+		_ = s.body.Close()
+	}
+}
+
+// Next returns the next event, io.EOF after the last, and resumes where a connection is lost.
+func (s *Stream) Next() (Event, error) {
+	for {
+		e, err := s.read()
+		if err == nil || errors.Is(err, io.EOF) || !movesOn(err) || s.ctx.Err() != nil {
+			return e, err
+		}
+		var order *OrderError
+		if errors.As(err, &order) {
+			return e, err
+		}
+		s.Close()
+		s.Resumes++
+		if err := s.connect(); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// ReadAll reads to the end and returns the text; it fails as Next does.
+func (s *Stream) ReadAll() (string, error) {
+	defer s.Close()
+	for {
+		_, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return s.Text(), nil
+		}
+		if err != nil {
+			return s.Text(), err
+		}
+	}
+}
+
+func (s *Stream) connect() error {
+	var last error
+	for range maxTries {
+		err := s.connectAt(s.client.address(s.ctx, s.chat.Chat, s.chat.Model, s.tries))
+		if err == nil || !movesOn(err) || s.ctx.Err() != nil {
+			return err
+		}
+		last = err
+		s.tries++
+		s.client.pause(s.ctx)
+	}
+	return last
+}
+
+func (s *Stream) connectAt(address string) error {
+	body, err := json.Marshal(struct {
+		Model      ident.Model `json:"model"`
+		Stream     bool        `json:"stream"`
+		User       ident.Chat  `json:"user,omitempty"`
+		MaxTokens  int         `json:"max_tokens,omitempty"`
+		Messages   []Message   `json:"messages"`
+		ResumeText string      `json:"resumeText,omitempty"`
+	}{s.chat.Model, true, s.chat.Chat, s.chat.MaxTokens, s.chat.Messages, s.text.String()})
+	if err != nil {
+		return errors.Wrap(err, "encode chat")
+	}
+	req, err := s.client.request(s.ctx, http.MethodPost, address+"/v1/chat/completions", body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("X-Class", string(s.chat.Class))
+	if s.last != "" {
+		req.Header.Set("Last-Event-ID", s.last)
+	}
+	resp, err := s.client.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send chat")
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
+		answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		if e := refusal(resp, answer); e != nil {
+			return e
+		}
+		return errors.Errorf("router answered %s", resp.Status)
+	}
+	s.body = resp.Body
+	s.lines = bufio.NewScanner(resp.Body)
+	s.lines.Buffer(nil, maxLineBytes)
+	return nil
+}
+
+// read returns the next event of the present connection.
+func (s *Stream) read() (Event, error) {
+	var id string
+	for s.lines.Scan() {
+		line := s.lines.Text()
+		switch {
+		case len(line) > 4 && line[:4] == "id: ":
+			id = line[4:]
+		case line == "data: [DONE]":
+			return Event{}, io.EOF
+		case len(line) > 6 && line[:6] == "data: ":
+			return s.take(id, []byte(line[6:]))
+		}
+	}
+	if err := s.lines.Err(); err != nil {
+		return Event{}, errors.Wrap(err, "read stream")
+	}
+	return Event{}, errCut
+}
+
+// take checks that an event is the next of this request.
+func (s *Stream) take(id string, data []byte) (Event, error) {
+	if e := parseError(data); e != nil {
+		return Event{}, e
+	}
+	event, err := ident.ParseEvent(id)
+	if err != nil {
+		return Event{}, err
+	}
+	if event.Offset != s.next {
+		return Event{}, &OrderError{Got: event, Want: s.next}
+	}
+	var chunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return Event{}, errors.Wrap(err, "decode event")
+	}
+	text := ""
+	if len(chunk.Choices) > 0 {
+		text = chunk.Choices[0].Delta.Content
+	}
+	s.next++
+	s.last = id
+	s.text.WriteString(text)
+	return Event{ID: event, Text: text}, nil
+}
--- a/connection/callers/chat.go
+++ b/connection/callers/chat.go
@@ -118,9 +118,24 @@
 	submit.Engine = e.Engine
 	submit.From = e.Offset + 1
 	submit.Received = b.ResumeText
+	body, err := withoutResumeText(submit.Body)
+	if err != nil {
+		return wire.Submit{}, wire.Refuse(http.StatusBadRequest, wire.CodeBadRequest, "the body is not valid JSON: %s", err)
+	}
+	submit.Body = body
 	return submit, nil
 }
 
+// withoutResumeText returns the body as engines take it, and as it was at the first send.
+func withoutResumeText(body []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	delete(fields, "resumeText")
+	return json.Marshal(fields)
+}
+
 // event writes one event to the caller.
 func (a *answering) event(e ident.Event, data []byte) error {
 	now := time.Now()
