--- a/connection/peer/pool.go
+++ b/connection/peer/pool.go
@@ -24,6 +24,8 @@
 		Router      ident.Router
 		Incarnation ident.Incarnation
 		TLS         *tls.Config
+		// Wrap wraps each connection once the peer is known; nil wraps none.
+		Wrap func(peer ident.Router, c net.Conn) net.Conn
 	}
 
 	// Directory finds the address of a router, and reports whether it is known.
@@ -126,6 +128,13 @@
 	}
 }
 
+func (i Identity) wrap(peer ident.Router, c net.Conn) net.Conn {
+	if i.Wrap == nil {
+		return c
+	}
+	return i.Wrap(peer, c)
+}
+
 func (c *Conn) lost() bool {
 	select {
 	case <-c.done:
@@ -155,9 +164,9 @@
 		}
 		raw = secured
 	}
-	conn := newConn(raw, nil)
+	conn := newConn(p.self.wrap(to, raw), nil)
 	hello := wire.Frame{Kind: wire.KindHello, Body: wire.Encode(wire.Hello{Router: p.self.Router, Incarnation: p.self.Incarnation})}
-	if err := wire.Write(raw, hello); err != nil {
+	if err := wire.Write(conn.raw, hello); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -202,7 +211,7 @@
 		return
 	}
 	_ = raw.SetReadDeadline(time.Time{})
-	conn := newConn(raw, func(s *Stream, f wire.Frame) { handle(ctx, hello.Router, s, f) })
+	conn := newConn(self.wrap(hello.Router, raw), func(s *Stream, f wire.Frame) { handle(ctx, hello.Router, s, f) })
 	go conn.writeLoop()
 	_ = conn.readLoop()
 }
--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -25,6 +25,7 @@
 func (e *Engine) run(r *run.Run) {
 	e.set.point("sent", r.Submit.Request)
 	err := e.call(r)
+	e.set.point("lastToken", r.Submit.Request)
 	now := time.Now()
 	end := e.classify(r, err, now)
 	if err != nil && mayStillRun(err) {
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -109,6 +109,7 @@
 	}
 	e.spilled.remove(r.Submit.Chat)
 	e.set.runs.Put(r)
+	e.set.point("queued", r.Submit.Request)
 	e.dispatch(now)
 	return nil
 }
--- /dev/null
+++ b/process/router/cell_test.go
@@ -0,0 +1,371 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/caller"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/standin/check"
+	"github.com/vanillaroute/vanillaroute/standin/embedded"
+	"github.com/vanillaroute/vanillaroute/standin/engine"
+	"github.com/vanillaroute/vanillaroute/standin/kv"
+	"github.com/vanillaroute/vanillaroute/standin/service"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+)
+
+const (
+	cellChats     = 12
+	cellBookings  = 6
+	eventsBefore  = 60
+	inForceWithin = 5 * time.Second
+	sumsLag       = time.Second
+	flapPeriod    = 150 * time.Millisecond
+)
+
+type (
+	// cell is one run of the matrix: a deployment, a workload, and faults that wait for their steps.
+	cell struct {
+		t       *testing.T
+		ctx     context.Context
+		d       *embedded.Deployment
+		release chan struct{}
+		faults  []fault
+		steps   []string
+		// hit is the router at which the last fault's step was passed.
+		hit ident.Router
+
+		mu      sync.Mutex
+		fired   []bool
+		passed  map[string]int
+		killed  map[ident.Router]bool
+		stopped map[ident.Router]bool
+		paused  map[ident.Router]time.Time
+		cuts    map[[2]ident.Router]time.Time
+		results []booking
+		group   sync.WaitGroup
+	}
+
+	// booking is what a caller was told of one key.
+	booking struct {
+		key string
+		err error
+	}
+
+	// cutConn swallows what is written while its link is cut, and fails afterwards.
+	cutConn struct {
+		net.Conn
+		cell     *cell
+		from, to ident.Router
+		mu       sync.Mutex
+		lossy    bool
+	}
+)
+
+// runCell runs the workload with its faults, and checks every invariant from the callers' ends and the logs.
+func runCell(t *testing.T, faults []fault, steps []string) {
+	c := &cell{
+		t: t, ctx: testContext(t), release: make(chan struct{}), faults: faults, steps: steps, fired: make([]bool, len(faults)),
+		passed: make(map[string]int), killed: make(map[ident.Router]bool), stopped: make(map[ident.Router]bool), paused: make(map[ident.Router]time.Time), cuts: make(map[[2]ident.Router]time.Time),
+	}
+	c.d = deploy(t, embedded.Options{
+		Point: func(id ident.Router) func(string, ident.Request) {
+			return func(s string, _ ident.Request) { c.point(id, s) }
+		},
+		WrapPeer: c.wrap,
+	})
+	t.Cleanup(func() { close(c.release) })
+	key, revision := c.applyChange()
+	c.workload()
+	c.checkFired()
+	c.checkBookings()
+	c.checkConfiguration(key, revision)
+	c.checkEngines()
+}
+
+// point holds up a killed or paused router, and applies the faults whose step has come.
+func (c *cell) point(id ident.Router, step string) {
+	c.mu.Lock()
+	c.passed[step]++
+	var due []fault
+	for i, f := range c.faults {
+		early := c.steps[i] == "event" && c.passed[step] < eventsBefore
+		if c.steps[i] == step && !c.fired[i] && !early && !c.killed[id] {
+			c.fired[i] = true
+			c.hit = id
+			due = append(due, f)
+		}
+	}
+	c.mu.Unlock()
+	for _, f := range due {
+		f.apply(c)
+	}
+	c.mu.Lock()
+	killed, until := c.killed[id], c.paused[id]
+	c.mu.Unlock()
+	if killed {
+		<-c.release
+	}
+	time.Sleep(time.Until(until))
+}
+
+// workload runs chats and bookings over all routers, and a graceful stop where a step needs one.
+func (c *cell) workload() {
+	for _, step := range c.steps {
+		if step == "drained" {
+			c.stopped[c.d.Nodes()[0].Settings.Router.ID] = true
+			c.d.Nodes()[0].Stop()
+			break
+		}
+	}
+	addresses := c.d.Addresses()
+	for i := range cellChats {
+		seeds := append(addresses[i%len(addresses):len(addresses):len(addresses)], addresses[:i%len(addresses)]...)
+		client := newCaller(c.t, c.d, seeds...)
+		c.group.Go(func() {
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			if err := ask(c.ctx, client, c.d.Site.Plan.Model, i); err != nil {
+				c.t.Errorf("chat %d: %v", i, err)
+			}
+		})
+		if i < cellBookings {
+			c.group.Go(func() { c.book(client, fmt.Sprintf("booking-%d", i)) })
+		}
+	}
+	c.group.Wait()
+}
+
+func (c *cell) book(client *caller.Client, key string) {
+	_, err := book(c.ctx, client, key, `{"tour":"workshop"}`)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, booking{key, err})
+}
+
+// applyChange raises an allowance through the last router, and returns the entry's key and revision.
+func (c *cell) applyChange() (string, ident.Revision) {
+	a := lists.Allowance{Plan: "large", Models: []ident.Model{c.d.Site.Plan.Model}, Services: []ident.Service{"desk"}, RequestsPerSecond: 3000, TokensPerSecond: 3e6, Concurrency: 3000}
+	value, err := json.Marshal(a)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return a.Key(), ident.Revision(c.d.Site.Store.Put(a.Key(), value))
+}
+
+// checkFired fails a cell whose step was never reached, since it has shown nothing.
+func (c *cell) checkFired() {
+	const patience = 5 * time.Second
+	deadline := time.Now().Add(patience)
+	for i := range c.faults {
+		for !c.hasFired(i) {
+			if time.Now().After(deadline) {
+				c.t.Errorf("step %s was not reached", c.steps[i])
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (c *cell) hasFired(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fired[i]
+}
+
+// checkBookings compares what callers were told with what the services ran.
+func (c *cell) checkBookings() {
+	runs := check.Executions(c.d.Site.Desks)
+	unknown, refused := false, false
+	for _, f := range c.faults {
+		unknown = unknown || f.unknown
+		refused = refused || f.refused
+	}
+	for _, r := range c.results {
+		n := runs[r.key]
+		var told *caller.Error
+		switch {
+		case n > 1:
+			c.t.Errorf("%s ran %d times", r.key, n)
+		case r.err == nil && n != 1:
+			c.t.Errorf("%s was answered but ran %d times", r.key, n)
+		case r.err == nil:
+		case !errors.As(r.err, &told):
+			c.t.Errorf("%s got no word: %v", r.key, r.err)
+		case told.Outcome == "notRun" && n != 0:
+			c.t.Errorf("%s was refused as not run but ran %d times", r.key, n)
+		case told.Outcome == "notRun" && !refused, told.Outcome == "outcomeUnknown" && !unknown, told.Outcome == "failed":
+			c.t.Errorf("%s: %v", r.key, r.err)
+		}
+	}
+}
+
+// checkConfiguration waits until the change is in force on every live router.
+func (c *cell) checkConfiguration(key string, revision ident.Revision) {
+	deadline := time.Now().Add(inForceWithin)
+	for _, n := range c.d.Nodes() {
+		id := n.Settings.Router.ID
+		for {
+			c.mu.Lock()
+			out := c.killed[id] || c.stopped[id]
+			if until := c.paused[id]; time.Until(until) > 0 && time.Until(until)+inForceWithin > time.Until(deadline) {
+				deadline = until.Add(inForceWithin)
+			}
+			c.mu.Unlock()
+			if out || n.Router.EntryRevision(key) == revision {
+				break
+			}
+			if time.Now().After(deadline) {
+				c.t.Errorf("router %s has revision %d of %s, want %d", id, n.Router.EntryRevision(key), key, revision)
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// checkEngines checks the bound, and that a leaving engine got nothing new after the time allowed.
+func (c *cell) checkEngines() {
+	const leaveWithin = 3 * time.Second
+	for _, e := range check.OverBound(c.d.Site.Engines, 1.25, sumsLag) {
+		c.t.Errorf("engine %s ran %d with a bound of %d", e.Engine, e.Running, e.Bound)
+	}
+	for _, e := range c.d.Site.Engines {
+		if left := e.LeftAt(); !left.IsZero() {
+			if late := check.StartedAfter(e, left.Add(leaveWithin)); len(late) > 0 {
+				c.t.Errorf("leaving engine %s started %d requests after %s", e.Shape().ID, len(late), leaveWithin)
+			}
+		}
+	}
+}
+
+func (c *cell) kill(id ident.Router) {
+	c.mu.Lock()
+	c.killed[id] = true
+	c.mu.Unlock()
+	for _, n := range c.d.Nodes() {
+		if n.Settings.Router.ID == id {
+			n.Kill()
+		}
+	}
+}
+
+func (c *cell) pause(id ident.Router) { c.pauseFor(id, pauseTime) }
+
+func (c *cell) pauseFor(id ident.Router, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paused[id] = time.Now().Add(d)
+}
+
+// cut parts a router from the next one, one way or both.
+func (c *cell) cut(id ident.Router, both bool) {
+	nodes := c.d.Nodes()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := time.Now().Add(cutTime)
+	for i, n := range nodes {
+		if n.Settings.Router.ID != id {
+			continue
+		}
+		other := nodes[(i+1)%len(nodes)].Settings.Router.ID
+		c.cuts[[2]ident.Router{id, other}] = until
+		if both {
+			c.cuts[[2]ident.Router{other, id}] = until
+		}
+	}
+}
+
+func (c *cell) wrap(self, peer ident.Router, conn net.Conn) net.Conn {
+	return &cutConn{Conn: conn, cell: c, from: self, to: peer}
+}
+
+func (c *cell) isCut(from, to ident.Router) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.cuts[[2]ident.Router{from, to}]) || time.Now().Before(c.paused[from])
+}
+
+// Write loses the bytes while the link is cut; a stream with a hole in it is useless afterwards.
+func (c *cutConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cell.isCut(c.from, c.to) {
+		c.lossy = true
+		return len(p), nil
+	}
+	if c.lossy {
+		_ = c.Close()
+		return 0, errors.New("connection lost bytes")
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *cell) busiest() *engine.Engine {
+	best, most := c.d.Site.Engines[0], -1
+	for _, e := range c.d.Site.Engines {
+		running := 0
+		for _, entry := range e.Log() {
+			if entry.Outcome == engine.Running && !entry.Started.IsZero() {
+				running++
+			}
+		}
+		if running > most {
+			best, most = e, running
+		}
+	}
+	return best
+}
+
+func (c *cell) engineFor(f engine.Faults, d time.Duration) {
+	e := c.busiest()
+	e.SetFaults(f)
+	time.AfterFunc(d, func() { e.SetFaults(engine.Faults{}) })
+}
+
+func (c *cell) storeFor(f kv.Faults, d time.Duration) {
+	c.d.Site.Store.SetFaults(f)
+	time.AfterFunc(d, func() { c.d.Site.Store.SetFaults(kv.Faults{}) })
+}
+
+func (c *cell) services(f service.Faults) {
+	for _, s := range c.d.Site.Desks {
+		s.SetFaults(f)
+	}
+}
+
+// shrinkList takes a router and an engine off the list, which the routers read at different times, and puts them back.
+func (c *cell) shrinkList() {
+	i, ok := c.d.Site.Instance(string(c.hit))
+	if !ok {
+		return
+	}
+	c.d.Site.RemoveInstance(i.ID)
+	time.AfterFunc(outageTime, func() { c.d.Site.AddInstance(i) })
+}
+
+// resend sends every booking again through another router while the first is in progress.
+func (c *cell) resend() {
+	for i := range cellBookings {
+		client := newCaller(c.t, c.d)
+		c.group.Go(func() { c.book(client, fmt.Sprintf("booking-%d", i)) })
+	}
+}
+
+// flap has an engine crash and return several times in quick succession.
+func (c *cell) flap() {
+	e := c.busiest()
+	const times = 3
+	c.group.Go(func() {
+		for range times {
+			e.SetFaults(engine.Faults{Crash: true, RestartMs: 50})
+			time.Sleep(flapPeriod)
+		}
+	})
+}
--- a/process/router/configuration.go
+++ b/process/router/configuration.go
@@ -40,16 +40,16 @@
 		}
 	}
 	r.log.Info("configuration read", zap.Int64("revision", int64(r.config.Digest().Highest)))
-	for sleep(ctx, watcherRenewal) {
-		slot, ok := r.watcherSlot()
-		if !ok {
-			continue
+	for {
+		if slot, ok := r.watcherSlot(); ok {
+			if err := r.watchAs(ctx, slot); err != nil && ctx.Err() == nil {
+				r.log.Debug("not watching", zap.Error(err))
+			}
 		}
-		if err := r.watchAs(ctx, slot); err != nil && ctx.Err() == nil {
-			r.log.Debug("not watching", zap.Error(err))
+		if !sleep(ctx, watcherRenewal) {
+			return ctx.Err()
 		}
 	}
-	return ctx.Err()
 }
 
 func (r *Router) readStore(ctx context.Context) error {
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -39,6 +39,8 @@
 		Peers   net.Listener
 		// Point is called where a request passes a step, so that tests can cause a fault there.
 		Point home.Point
+		// WrapPeer wraps each connection with a peer, so that tests can cut a link.
+		WrapPeer func(peer ident.Router, c net.Conn) net.Conn
 	}
 
 	// Router is one router process.
@@ -87,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.identity = peer.Identity{Router: r.self, Incarnation: r.incarnation, TLS: secured}
+	r.identity = peer.Identity{Router: r.self, Incarnation: r.incarnation, TLS: secured, Wrap: o.WrapPeer}
 	if err := r.listen(o); err != nil {
 		return nil, err
 	}
@@ -116,7 +118,7 @@
 	})
 	r.shares = limits.NewShares(r.self, r.askShare, func() int { return len(r.fleet.View().Placed()) })
 	r.relay = &relay.Relay{
-		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled,
+		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled, Point: point,
 		Hedges: relay.NewHedges(r.settings.Routing.HedgeShare), Retries: relay.NewRetries(),
 	}
 }
@@ -206,6 +208,7 @@
 	for r.homes.Active()+r.ledger.Active() > 0 && ctx.Err() == nil {
 		sleep(ctx, tickPeriod)
 	}
+	r.homes.Point("drained", "")
 	r.log.Info("left", zap.Int("activeRuns", r.homes.Active()), zap.Int("activeCalls", r.ledger.Active()))
 }
 
@@ -256,3 +259,6 @@
 
 // Peers returns how many routers, this one included, are live in its view.
 func (r *Router) Peers() int { return len(r.fleet.View().Routers()) }
+
+// EntryRevision returns the revision of an entry of the lists in force here, or 0 where there is none.
+func (r *Router) EntryRevision(key string) ident.Revision { return r.config.Revision(key) }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -41,6 +41,7 @@
 		Open    Open
 		Lost    func(ident.Router)
 		Spilled func(home ident.Router, note wire.SpillNote)
+		Point   func(step string, id ident.Request)
 		Hedges  *Hedges
 		Retries *Budget
 	}
@@ -167,6 +168,7 @@
 	if len(c.kept) > 0 {
 		c.submit.Received = c.received + textOf(c.kept)
 	}
+	c.Point("picked", c.submit.Request)
 	source, err := c.Open(ctx, home, c.submit)
 	if err != nil {
 		return c.lost(ctx, home, err)
--- a/standin/embedded/embedded.go
+++ b/standin/embedded/embedded.go
@@ -31,6 +31,8 @@
 		Change  Change
 		// Point returns the function that a router calls where a request passes a step.
 		Point func(id ident.Router) func(step string, request ident.Request)
+		// WrapPeer wraps the connections between two routers.
+		WrapPeer func(self, peer ident.Router, c net.Conn) net.Conn
 	}
 
 	// Deployment is a site with its routers.
@@ -152,6 +154,9 @@
 	if d.options.Point != nil {
 		o.Point = d.options.Point(v.Router.ID)
 	}
+	if d.options.WrapPeer != nil {
+		o.WrapPeer = func(peer ident.Router, c net.Conn) net.Conn { return d.options.WrapPeer(v.Router.ID, peer, c) }
+	}
 	r, err := router.New(v, o, time.Now())
 	if err != nil {
 		return nil, err
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -232,3 +232,15 @@
 
 // NewKey returns a random key for an organisation or for operators.
 func NewKey() string { return "vk-" + string(ident.NewRequest()) + string(ident.NewRequest()) }
+
+// Instance returns a listed instance.
+func (s *Site) Instance(id string) (fleet.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.instances {
+		if i.ID == id {
+			return i, true
+		}
+	}
+	return fleet.Instance{}, false
+}
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -326,3 +326,10 @@
 		return 0
 	}
 }
+
+// Revision returns the revision of an entry, deleted ones included, or 0 where none is known.
+func (s *State) Revision(key string) ident.Revision {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.entries[key].revision
+}
--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -83,11 +83,8 @@
 	return total
 }
 
-// Bound returns how many requests an engine may hold when one more is to be placed: at least 1.
+// Bound returns how many requests an engine may hold when one more is to be placed; a mean under one counts as one.
 func (t Total) Bound(loadBound, weight float64) int {
-	if t.Engines == 0 {
-		return 1
-	}
-	mean := float64(t.Running+1) / float64(t.Engines)
+	mean := max(1, float64(t.Running+1)/float64(max(t.Engines, 1)))
 	return max(1, int(math.Ceil(loadBound*mean*weight)))
 }
