test: routers as processes of their own, killed, paused and replaced one by one under load

Cause: faults inside one process do not show what kill -9 and SIGSTOP do. Change: tests that start serve processes before stand-ins and judge from callers and logs.

--- /dev/null
+++ b/cmd/processes_test.go
@@ -0,0 +1,297 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/caller"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/standin/check"
+	"github.com/vanillaroute/vanillaroute/standin/site"
+)
+
+const (
+	processTimeout = 2 * time.Minute
+	noteTokens     = 120
+	loadSize       = 200
+)
+
+// processes are routers that run as programs of their own, before stand-ins of the test.
+type processes struct {
+	t       *testing.T
+	site    *site.Site
+	routers []settings.Settings
+	dir     string
+	mu      sync.Mutex
+	running map[ident.Router]*exec.Cmd
+}
+
+func startProcesses(t *testing.T, n int) *processes {
+	t.Helper()
+	s, err := site.Start(site.Museum())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	p := &processes{t: t, site: s, dir: t.TempDir(), running: make(map[ident.Router]*exec.Cmd)}
+	if p.routers, err = routerSettings(s, n, site.NewKey()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range p.routers {
+		p.routers[i].Log.Level = "error"
+		p.routers[i].Routing.AddressValidity = tomlfile.Duration(time.Second)
+	}
+	if _, err := s.WriteSettings(p.dir, p.routers); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.killAll)
+	for _, r := range p.routers {
+		p.start(r.Router.ID)
+	}
+	for _, r := range p.routers {
+		p.awaitReady(r)
+	}
+	return p
+}
+
+func (p *processes) start(id ident.Router) {
+	cmd := exec.Command(os.Args[0], "serve", "--config", filepath.Join(p.dir, string(id)+".toml"))
+	cmd.Env = append(os.Environ(), runVariable+"=1")
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[id] = cmd
+}
+
+func (p *processes) signal(id ident.Router, s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.running[id].Process.Signal(s); err != nil {
+		p.t.Error(err)
+	}
+}
+
+func (p *processes) wait(id ident.Router) error {
+	p.mu.Lock()
+	cmd := p.running[id]
+	delete(p.running, id)
+	p.mu.Unlock()
+	return cmd.Wait()
+}
+
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, cmd := range p.running {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+}
+
+func (p *processes) awaitReady(s settings.Settings) {
+	const patience = 20 * time.Second
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get("http://" + s.Router.Callers.String() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	p.t.Fatalf("router %s was not ready in %s", s.Router.ID, patience)
+}
+
+// caller returns a client that knows all routers, beginning with a different one each time.
+func (p *processes) caller(i int) *caller.Client {
+	var seeds []string
+	for j := range p.routers {
+		seeds = append(seeds, "http://"+p.routers[(i+j)%len(p.routers)].Router.Callers.String())
+	}
+	c := caller.New(seeds, p.site.Organisations[i%3].Key)
+	p.t.Cleanup(c.Close)
+	return c
+}
+
+// note streams one long answer and checks that all of it came.
+func (p *processes) note(ctx context.Context, c *caller.Client, i int) error {
+	messages := []caller.Message{{Role: "user", Content: fmt.Sprintf("Write the provenance of bell %d", i)}}
+	s, err := c.Stream(ctx, caller.Chat{
+		Model: p.site.Plan.Model, Chat: ident.Chat(fmt.Sprintf("note-%d", i)), Class: "long", Messages: messages, MaxTokens: noteTokens,
+	})
+	if err != nil {
+		return err
+	}
+	text, err := s.ReadAll()
+	if err != nil {
+		return err
+	}
+	if text != check.Answer(messages, noteTokens) {
+		return errors.Errorf("note %d is not whole: %d bytes", i, len(text))
+	}
+	return nil
+}
+
+func (p *processes) book(ctx context.Context, c *caller.Client, key string) error {
+	_, err := c.Do(ctx, caller.Call{Service: site.DeskService, Method: http.MethodPost, Path: "/bookings", Key: key, Body: []byte(`{}`)})
+	return err
+}
+
+// load runs notes and bookings at once, and returns what callers were told of the bookings.
+func (p *processes) load(ctx context.Context, size int) map[string]error {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]error)
+	for i := range size {
+		c := p.caller(i)
+		group.Go(func() {
+			if err := p.note(ctx, c, i); err != nil {
+				p.t.Errorf("note %d: %v", i, err)
+			}
+		})
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			key := fmt.Sprintf("key-%d", i)
+			err := p.book(ctx, c, key)
+			mu.Lock()
+			defer mu.Unlock()
+			told[key] = err
+		})
+	}
+	group.Wait()
+	return told
+}
+
+// judge compares what callers were told with what the services ran.
+func (p *processes) judge(told map[string]error, unknownAllowed bool) {
+	runs := check.Executions(p.site.Desks)
+	for _, d := range check.Doubled(p.site.Desks) {
+		p.t.Error(d)
+	}
+	unknown := 0
+	for key, err := range told {
+		var refusal *caller.Error
+		switch {
+		case err == nil && runs[key] != 1:
+			p.t.Errorf("%s was answered but ran %d times", key, runs[key])
+		case err == nil:
+		case !errors.As(err, &refusal):
+			p.t.Errorf("%s got no word: %v", key, err)
+		case refusal.Outcome == "notRun" && runs[key] != 0:
+			p.t.Errorf("%s was refused as not run but ran", key)
+		case refusal.Outcome == "outcomeUnknown":
+			unknown++
+		default:
+			p.t.Errorf("%s: %v", key, err)
+		}
+	}
+	if unknown > 0 && !unknownAllowed {
+		p.t.Errorf("%d bookings have an unknown outcome", unknown)
+	}
+	p.t.Logf("%d bookings: %d outcomes unknown", len(told), unknown)
+}
+
+func processContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), processTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestKillOfEachRouterUnderLoad(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for victim := range 3 {
+		t.Run(fmt.Sprintf("router-%d", victim+1), func(t *testing.T) {
+			p := startProcesses(t, 3)
+			id := p.routers[victim].Router.ID
+			time.AfterFunc(400*time.Millisecond, func() { p.signal(id, syscall.SIGKILL) })
+			p.judge(p.load(processContext(t), loadSize), true)
+		})
+	}
+}
+
+func TestPauseOfRouterUnderLoad(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	p := startProcesses(t, 3)
+	id := p.routers[1].Router.ID
+	time.AfterFunc(400*time.Millisecond, func() { p.signal(id, syscall.SIGSTOP) })
+	time.AfterFunc(5*time.Second, func() { p.signal(id, syscall.SIGCONT) })
+	p.judge(p.load(processContext(t), loadSize/2), true)
+}
+
+func TestRollingReplacementOfAllNine(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	p := startProcesses(t, 9)
+	ctx := processContext(t)
+	rolled := make(chan struct{})
+	go func() {
+		defer close(rolled)
+		for _, r := range p.routers {
+			p.signal(r.Router.ID, syscall.SIGTERM)
+			if err := p.wait(r.Router.ID); err != nil {
+				t.Errorf("router %s: %v", r.Router.ID, err)
+			}
+			p.start(r.Router.ID)
+			p.awaitReady(r)
+		}
+	}()
+	told := make(map[string]error)
+	for round := 0; ; round++ {
+		for key, err := range p.loadRound(ctx, round) {
+			told[key] = err
+		}
+		select {
+		case <-rolled:
+			p.judge(told, false)
+			return
+		default:
+		}
+	}
+}
+
+// loadRound runs a small load whose keys differ from those of other rounds.
+func (p *processes) loadRound(ctx context.Context, round int) map[string]error {
+	const size = 20
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]error)
+	for i := range size {
+		n := round*size + i
+		c := p.caller(n)
+		group.Go(func() {
+			if err := p.note(ctx, c, n); err != nil {
+				p.t.Errorf("note %d: %v", n, err)
+			}
+		})
+		group.Go(func() {
+			key := fmt.Sprintf("key-%d", n)
+			err := p.book(ctx, c, key)
+			mu.Lock()
+			defer mu.Unlock()
+			told[key] = err
+		})
+	}
+	group.Wait()
+	return told
+}
