--- a/caller/caller.go
+++ b/caller/caller.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"sync"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -32,7 +31,6 @@
 		key   string
 		seeds []string
 		http  *http.Client
-		mu    sync.Mutex
 		known *lru.Cache[string, addresses]
 	}
 
--- /dev/null
+++ b/cmd/measure.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"github.com/vanillaroute/vanillaroute/standin/measure"
+)
+
+const slopesMode = 0o644
+
+type measureCmd struct {
+	cmd    *cobra.Command
+	record string
+}
+
+func newMeasureCmd() *measureCmd {
+	root := &measureCmd{}
+	root.cmd = &cobra.Command{Use: "measure", Short: "Measures what one more unit of load costs a router, by small stand-ins"}
+	root.cmd.PersistentFlags().StringVar(&root.record, "record", "", "file of slopes to renew with what is measured, such as docs/slopes.json")
+	for _, part := range []struct {
+		use, short string
+		run        func() ([]measure.Slope, error)
+	}{
+		{"state", "Measures memory of what a router keeps, and the cost of a change of its view", measure.State},
+		{"traffic", "Measures the processor time for each token and request", measure.Traffic},
+		{"control", "Measures control traffic, memory of streams, and writes to the store", measure.Control},
+	} {
+		root.cmd.AddCommand(&cobra.Command{
+			Use: part.use, Short: part.short, Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error { return root.run(cmd, part.run) },
+		})
+	}
+	return root
+}
+
+func (m *measureCmd) run(cmd *cobra.Command, run func() ([]measure.Slope, error)) error {
+	slopes, err := run()
+	if err != nil {
+		return err
+	}
+	for _, s := range slopes {
+		fmt.Fprintf(cmd.OutOrStdout(), "%-20s %12.3f %s per %s (base %.1f, R² %.4f, spread %.1f%%)\n", s.Name, s.Slope, s.Unit, s.Per, s.Base, s.RSquare, 100*s.Spread)
+	}
+	if m.record == "" {
+		return nil
+	}
+	return record(m.record, slopes)
+}
+
+// record replaces the slopes of a file that were measured again.
+func record(file string, fresh []measure.Slope) error {
+	known, err := measure.Read(file)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	for _, s := range fresh {
+		known = known.With(s)
+	}
+	body, err := json.MarshalIndent(known, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode slopes")
+	}
+	return errors.Wrap(os.WriteFile(file, append(body, '\n'), slopesMode), "write slopes")
+}
--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -50,7 +50,7 @@
 	}
 	for i := range p.routers {
 		p.routers[i].Log.Level = "error"
-		p.routers[i].Routing.AddressValidity = tomlfile.Duration(time.Second)
+		p.routers[i].Routing.AddressValidity = tomlfile.NewDuration(time.Second)
 	}
 	if _, err := s.WriteSettings(p.dir, p.routers); err != nil {
 		t.Fatal(err)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -40,6 +40,9 @@
 		newKeyCmd().cmd,
 		newTryCmd().cmd,
 		newStandinCmd().cmd,
+		newMeasureCmd().cmd,
+		newExperimentCmd().cmd,
+		newCapacityCmd().cmd,
 	)
 	return root
 }
--- a/cmd/try.go
+++ b/cmd/try.go
@@ -71,7 +71,7 @@
 
 // shortValidity lets the routers stop soon, since nobody keeps the addresses of a trial.
 func shortValidity(s *settings.Settings) {
-	s.Routing.AddressValidity = tomlfile.Duration(tryValidity)
+	s.Routing.AddressValidity = tomlfile.NewDuration(tryValidity)
 }
 
 func printDescription(out io.Writer, d site.Description) {
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,8 @@
 	idleConnections  = 256
 	idleTimeout      = 90 * time.Second
 	doneMark         = "[DONE]"
-	initialLineBytes = 4 << 10
+	initialLineBytes = 1 << 10
+	loadPath         = "/load"
 )
 
 type (
@@ -141,14 +143,21 @@
 	return resp.Body.Close()
 }
 
+// ReportBytes returns how many bytes asking for a report sends.
+func (c *Client) ReportBytes() int {
+	host := strings.TrimPrefix(c.base, "http://")
+	return len("GET " + loadPath + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
+}
+
 // Load returns the engine's own report.
 func (c *Client) Load(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/load", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+loadPath, nil)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "build request")
 	}
+	req.Header.Set("User-Agent", "")
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "ask load")
--- a/connection/instances/instances.go
+++ b/connection/instances/instances.go
@@ -16,10 +16,12 @@
 	maxListBytes = 32 << 20
 )
 
-// Client reads the list over HTTP.
+// Client reads the list over HTTP, and only where it has changed.
 type Client struct {
 	url  string
 	http *http.Client
+	tag  string
+	last []fleet.Instance
 }
 
 // New returns a client of the list at address, an IP number with a port.
@@ -27,17 +29,23 @@
 	return &Client{url: "http://" + address + "/instances", http: &http.Client{Timeout: timeout}}
 }
 
-// List returns the instances, and fails where the list cannot be read.
+// List returns the instances, and fails where the list cannot be read; it is not safe for concurrent use.
 func (c *Client) List(ctx context.Context) ([]fleet.Instance, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "read list of instances")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return c.last, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("list of instances answered %s", resp.Status)
 	}
@@ -45,5 +53,6 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, errors.Wrap(err, "decode list of instances")
 	}
+	c.tag, c.last = resp.Header.Get("ETag"), list
 	return list, nil
 }
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -37,13 +37,14 @@
 		accept  func(*Stream, wire.Frame)
 	}
 
-	// Stream is one exchange of frames on a connection.
+	// Stream is one exchange of frames on a connection; what has arrived waits in a list that grows as needed.
 	Stream struct {
-		ID     uint64
-		conn   *Conn
-		frames chan wire.Frame
-		done   chan struct{}
-		once   sync.Once
+		ID      uint64
+		conn    *Conn
+		mu      sync.Mutex
+		frames  []wire.Frame
+		arrived chan struct{}
+		closed  bool
 	}
 )
 
@@ -88,7 +89,7 @@
 }
 
 func (c *Conn) newStream(id uint64) *Stream {
-	return &Stream{ID: id, conn: c, frames: make(chan wire.Frame, streamQueueFrames), done: make(chan struct{})}
+	return &Stream{ID: id, conn: c, arrived: make(chan struct{}, 1)}
 }
 
 func (c *Conn) enqueue(ctx context.Context, f wire.Frame) error {
@@ -169,14 +170,25 @@
 	if !known {
 		return nil
 	}
-	select {
-	case s.frames <- f:
-		return nil
-	case <-s.done:
+	return s.deliver(f)
+}
+
+// deliver queues a frame for the stream's reader, and fails where the peer ignores the window.
+func (s *Stream) deliver(f wire.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
 		return nil
-	default:
+	}
+	if len(s.frames) >= streamQueueFrames {
 		return errStreamOverrun
 	}
+	s.frames = append(s.frames, f)
+	select {
+	case s.arrived <- struct{}{}:
+	default:
+	}
+	return nil
 }
 
 func (c *Conn) serve(s *Stream, f wire.Frame) {
@@ -191,37 +203,42 @@
 
 // Receive returns the next frame, and fails with ErrClosed where the connection is lost.
 func (s *Stream) Receive(ctx context.Context) (wire.Frame, error) {
-	select {
-	case f := <-s.frames:
-		return f, nil
-	default:
+	for {
+		if f, ok := s.take(); ok {
+			return f, nil
+		}
+		select {
+		case <-s.arrived:
+		case <-s.conn.done:
+			if f, ok := s.take(); ok {
+				return f, nil
+			}
+			return wire.Frame{}, ErrClosed
+		case <-ctx.Done():
+			return wire.Frame{}, ctx.Err()
+		}
 	}
-	select {
-	case f := <-s.frames:
-		return f, nil
-	case <-s.conn.done:
-		return s.drained()
-	case <-ctx.Done():
-		return wire.Frame{}, ctx.Err()
+}
+
+func (s *Stream) take() (wire.Frame, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.frames) == 0 {
+		return wire.Frame{}, false
 	}
+	f := s.frames[0]
+	s.frames[0] = wire.Frame{}
+	s.frames = s.frames[1:]
+	return f, true
 }
 
 // Close forgets the stream; frames that still arrive for it are dropped.
 func (s *Stream) Close() {
-	s.once.Do(func() {
-		close(s.done)
-		s.conn.mu.Lock()
-		delete(s.conn.streams, s.ID)
-		s.conn.mu.Unlock()
-	})
-}
-
-// drained returns what arrived before the connection was lost.
-func (s *Stream) drained() (wire.Frame, error) {
-	select {
-	case f := <-s.frames:
-		return f, nil
-	default:
-		return wire.Frame{}, ErrClosed
-	}
+	s.mu.Lock()
+	s.closed = true
+	s.frames = nil
+	s.mu.Unlock()
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	delete(s.conn.streams, s.ID)
 }
--- a/connection/wire/frame.go
+++ b/connection/wire/frame.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -87,13 +88,18 @@
 	return f, nil
 }
 
-// Encode returns the message as msgpack.
+// Encode returns the message as msgpack, in which a struct is the array of its fields without their names.
 func Encode[M any](message M) []byte {
-	body, err := msgpack.Marshal(message)
-	if err != nil {
+	var body bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&body)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(message); err != nil {
 		panic(errors.Wrapf(err, "encode %T", message))
 	}
-	return body
+	return body.Bytes()
 }
 
 // Decode reads a message from msgpack, and fails on anything else.
--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -279,23 +279,23 @@
 
 	// Call is a request between routers with one reply; exactly one field is set.
 	Call struct {
-		Service *ServiceCall `msgpack:",omitempty"`
-		Share   *ShareAsk    `msgpack:",omitempty"`
-		Probe   *ProbeAsk    `msgpack:",omitempty"`
-		Entries *EntriesAsk  `msgpack:",omitempty"`
-		Publish *PublishAsk  `msgpack:",omitempty"`
-		Spill   *SpillNote   `msgpack:",omitempty"`
-		Status  bool         `msgpack:",omitempty"`
+		Service *ServiceCall
+		Share   *ShareAsk
+		Probe   *ProbeAsk
+		Entries *EntriesAsk
+		Publish *PublishAsk
+		Spill   *SpillNote
+		Status  bool
 	}
 
 	// Reply answers a call; exactly one field is set.
 	Reply struct {
-		Service *ServiceAnswer `msgpack:",omitempty"`
-		Share   *ShareGrant    `msgpack:",omitempty"`
-		Probe   *ProbeReply    `msgpack:",omitempty"`
-		Entries *EntriesReply  `msgpack:",omitempty"`
-		Status  *StatusReply   `msgpack:",omitempty"`
-		Refusal *Refusal       `msgpack:",omitempty"`
+		Service *ServiceAnswer
+		Share   *ShareGrant
+		Probe   *ProbeReply
+		Entries *EntriesReply
+		Status  *StatusReply
+		Refusal *Refusal
 	}
 )
 
--- a/process/home/set.go
+++ b/process/home/set.go
@@ -172,8 +172,14 @@
 	return list
 }
 
-// Engines returns how many engines this router is the home of.
-func (s *Set) Engines() int { return len(s.all()) }
+// PollBytes returns how many bytes Poll sends.
+func (s *Set) PollBytes() int {
+	sum := 0
+	for _, e := range s.all() {
+		sum += e.client.ReportBytes()
+	}
+	return sum
+}
 
 // Point marks that a request passes a step.
 func (s *Set) Point(step string, id ident.Request) { s.point(step, id) }
@@ -234,9 +240,7 @@
 
 // total returns the load of a model over the fleet.
 func (s *Set) total(m ident.Model, now time.Time) sums.Total {
-	total := s.sums.Total(s.self, s.ownSum(m), now)
-	total.Engines = max(total.Engines, len(s.fleet.View().OfModel(m)))
-	return total
+	return s.sums.Total(s.self, s.ownSum(m), now)
 }
 
 func (e *Engine) models() []ident.Model {
--- a/process/limits/lender.go
+++ b/process/limits/lender.go
@@ -12,7 +12,7 @@
 
 const (
 	// Validity is how long a share is lent, and so how long a dead router keeps it.
-	Validity = 2 * time.Second
+	Validity = 5 * time.Second
 
 	floorShare = 0.05
 )
--- a/process/limits/shares.go
+++ b/process/limits/shares.go
@@ -14,10 +14,12 @@
 
 const (
 	// RenewPeriod is how often a share in use is asked for again.
-	RenewPeriod = 500 * time.Millisecond
+	RenewPeriod = 2 * time.Second
+	// EarlyPeriod is how soon a share that has run out may be asked for again.
+	EarlyPeriod = 250 * time.Millisecond
 
 	askTimeout    = 100 * time.Millisecond
-	idleAfter     = 2 * time.Second
+	idleAfter     = 5 * time.Second
 	fallbackLife  = Validity
 	demandSmooth  = 0.5
 	minBurst      = 1
@@ -50,6 +52,9 @@
 		rate      float64
 		tokenRate float64
 		renewed   time.Time
+		asked     time.Time
+		// refused counts the requests that the share was too small for since it was asked for.
+		refused int
 	}
 )
 
@@ -73,9 +78,24 @@
 	if !fresh {
 		s.renew(ctx, org, now)
 	}
+	refusal, early := s.take(sh, prompt, now)
+	if early {
+		s.renew(ctx, org, now)
+		refusal, _ = s.take(sh, prompt, now)
+	}
+	return refusal
+}
+
+// take counts a request, or says whether it is time to ask for a larger share first.
+func (s *Shares) take(sh *lentShare, prompt int, now time.Time) (refusal *wire.Refusal, early bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return sh.take(prompt, now)
+	refusal = sh.take(prompt, now)
+	if refusal == nil {
+		return nil, false
+	}
+	sh.refused++
+	return refusal, now.Sub(sh.asked) >= EarlyPeriod
 }
 
 // Done counts the end of a request and the tokens of its answer.
@@ -115,7 +135,9 @@
 		return
 	}
 	sh.measure(now)
-	ask := wire.ShareAsk{Router: s.self, Organisation: org, Requests: sh.rate, Tokens: sh.tokenRate, Running: sh.running}
+	sh.asked = now
+	ask := wire.ShareAsk{Router: s.self, Organisation: org, Requests: sh.rate, Tokens: sh.tokenRate, Running: sh.running + sh.refused}
+	sh.refused = 0
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -178,7 +200,7 @@
 // measure turns the counts since the last renewal into the demand.
 func (sh *lentShare) measure(now time.Time) {
 	elapsed := now.Sub(sh.renewed).Seconds()
-	if elapsed < RenewPeriod.Seconds()/2 {
+	if elapsed < EarlyPeriod.Seconds()/2 {
 		return
 	}
 	sh.rate += demandSmooth * (float64(sh.counted)/elapsed - sh.rate)
--- a/process/router/cell_test.go
+++ b/process/router/cell_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -126,7 +127,8 @@
 	}
 	addresses := c.d.Addresses()
 	for i := range cellChats {
-		seeds := append(addresses[i%len(addresses):len(addresses):len(addresses)], addresses[:i%len(addresses)]...)
+		first := i % len(addresses)
+		seeds := slices.Concat(addresses[first:], addresses[:first])
 		client := newCaller(c.t, c.d, seeds...)
 		c.group.Go(func() {
 			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
--- a/process/router/configuration.go
+++ b/process/router/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -63,22 +64,40 @@
 	return nil
 }
 
-// readPeers takes the whole configuration from at least two ready peers, for a start while the store is away.
+// readPeers takes every bucket of the configuration from two ready peers, for a start while the store is away; the buckets
+// are spread over the peers, so that no peer sends much.
 func (r *Router) readPeers(ctx context.Context) {
-	ready := 0
-	for _, to := range r.fleet.Listed() {
-		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-		reply, err := r.pool.Call(callCtx, to, wire.Call{Entries: &wire.EntriesAsk{Buckets: allBuckets(), Known: r.config.Known(allBuckets())}})
-		cancel()
-		if err != nil || reply.Entries == nil || !reply.Entries.Ready {
-			continue
+	peers := r.fleet.Listed()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for first := 0; first < config.Buckets; first += bucketsPerAsk {
+		buckets := make([]uint8, bucketsPerAsk)
+		for i := range buckets {
+			buckets[i] = uint8(first + i)
+		}
+		answered := 0
+		for i := range peers {
+			to := peers[(first/bucketsPerAsk+i)%len(peers)]
+			if answered < startPeers && r.readBuckets(ctx, to, buckets) {
+				answered++
+			}
 		}
-		r.config.Apply(reply.Entries.Entries, time.Now())
-		if ready++; ready == startPeers {
-			r.config.SetReady()
+		if answered < startPeers {
 			return
 		}
 	}
+	r.config.SetReady()
+}
+
+// readBuckets takes what a ready peer has in some buckets, and reports whether it answered.
+func (r *Router) readBuckets(ctx context.Context, from ident.Router, buckets []uint8) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := r.pool.Call(ctx, from, wire.Call{Entries: &wire.EntriesAsk{Buckets: buckets, Known: r.config.Known(buckets)}})
+	if err != nil || reply.Entries == nil || !reply.Entries.Ready {
+		return false
+	}
+	r.config.Apply(reply.Entries.Entries, time.Now())
+	return true
 }
 
 // watcherSlot reports whether this router is to be one of its failure domain's watchers.
@@ -252,19 +271,11 @@
 
 // pollEngines asks this home's engines for their reports, within the control budget.
 func (r *Router) pollEngines(now time.Time) {
-	if r.budget.Spend(budget.Membership, reportBytes*r.homes.Engines(), now) {
+	if r.budget.Spend(budget.Membership, r.homes.PollBytes(), now) {
 		r.homes.Poll()
 	}
 }
 
-func allBuckets() []uint8 {
-	all := make([]uint8, config.Buckets)
-	for i := range all {
-		all[i] = uint8(i)
-	}
-	return all
-}
-
 func toWire(found []store.Entry) []wire.Entry {
 	entries := make([]wire.Entry, len(found))
 	for i, e := range found {
--- a/process/router/periods.go
+++ b/process/router/periods.go
@@ -19,10 +19,10 @@
 	watchersOfDomain = 2
 	startRetry       = 200 * time.Millisecond
 	startPeers       = 2
+	bucketsPerAsk    = 4
 	publishTimeout   = time.Second
 	publishPeers     = 2
-	ledgerHomes      = 8
+	ledgerHomes      = 6
 	callDeadline     = 35 * time.Second
 	serviceTries     = 3
-	reportBytes      = 150
 )
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -262,3 +262,9 @@
 
 // EntryRevision returns the revision of an entry of the lists in force here, or 0 where there is none.
 func (r *Router) EntryRevision(key string) ident.Revision { return r.config.Revision(key) }
+
+// IsHome reports whether this router is the home of an engine.
+func (r *Router) IsHome(e ident.Engine) bool { return r.fleet.View().HomeOf(e) == r.self }
+
+// ControlBytes returns how many bytes of control traffic this router has sent.
+func (r *Router) ControlBytes() int64 { return r.budget.Usage().Total() }
--- a/process/router/router_test.go
+++ b/process/router/router_test.go
@@ -47,8 +47,8 @@
 }
 
 func quick(s *settings.Settings) {
-	s.Routing.AddressValidity = tomlfile.Duration(testValidity)
-	s.Routing.GracefulShutdown = tomlfile.Duration(testTimeout)
+	s.Routing.AddressValidity = tomlfile.NewDuration(testValidity)
+	s.Routing.GracefulShutdown = tomlfile.NewDuration(testTimeout)
 }
 
 func newCaller(t *testing.T, d *embedded.Deployment, seeds ...string) *caller.Client {
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -53,10 +53,10 @@
 	orDefault(&r.LongShare, defaultLongShare)
 	orDefault(&r.QueueLimit, defaultQueueLimit)
 	orDefault(&r.HedgeShare, defaultHedgeShare)
-	orDefault(&r.FirstTokenTimeout, tomlfile.Duration(defaultFirstTokenTimeout))
-	orDefault(&r.StallTimeout, tomlfile.Duration(defaultStallTimeout))
-	orDefault(&r.AddressValidity, tomlfile.Duration(defaultAddressValidity))
-	orDefault(&r.GracefulShutdown, tomlfile.Duration(defaultGracefulShutdown))
+	orDefault(&r.FirstTokenTimeout, tomlfile.NewDuration(defaultFirstTokenTimeout))
+	orDefault(&r.StallTimeout, tomlfile.NewDuration(defaultStallTimeout))
+	orDefault(&r.AddressValidity, tomlfile.NewDuration(defaultAddressValidity))
+	orDefault(&r.GracefulShutdown, tomlfile.NewDuration(defaultGracefulShutdown))
 	orDefault(&s.Log.Level, defaultLogLevel)
 	if len(r.Classes) == 0 {
 		r.Classes = []Class{{Name: "standard"}, {Name: "interactive"}, {Name: "long", Long: true}}
@@ -64,9 +64,9 @@
 	for i := range r.Classes {
 		c := &r.Classes[i]
 		if c.Long {
-			orDefault(&c.MaxWait, tomlfile.Duration(defaultLongMaxWait))
+			orDefault(&c.MaxWait, tomlfile.NewDuration(defaultLongMaxWait))
 		}
-		orDefault(&c.MaxWait, tomlfile.Duration(defaultMaxWait))
+		orDefault(&c.MaxWait, tomlfile.NewDuration(defaultMaxWait))
 	}
 }
 
@@ -99,10 +99,10 @@
 		{s.Routing.LongShare > 0 && s.Routing.LongShare <= 1, "routing", "longShare", "expected a share between 0 and 1"},
 		{s.Routing.QueueLimit > 0, "routing", "queueLimit", "expected a count above 0"},
 		{s.Routing.HedgeShare >= 0 && s.Routing.HedgeShare <= 1, "routing", "hedgeShare", "expected a share between 0 and 1"},
-		{s.Routing.FirstTokenTimeout > 0, "routing", "firstTokenTimeout", "expected a duration above 0"},
-		{s.Routing.StallTimeout > 0, "routing", "stallTimeout", "expected a duration above 0"},
-		{s.Routing.AddressValidity > 0, "routing", "addressValidity", "expected a duration above 0"},
-		{s.Routing.GracefulShutdown > 0, "routing", "gracefulShutdown", "expected a duration above 0"},
+		{s.Routing.FirstTokenTimeout.Std() > 0, "routing", "firstTokenTimeout", "expected a duration above 0"},
+		{s.Routing.StallTimeout.Std() > 0, "routing", "stallTimeout", "expected a duration above 0"},
+		{s.Routing.AddressValidity.Std() > 0, "routing", "addressValidity", "expected a duration above 0"},
+		{s.Routing.GracefulShutdown.Std() > 0, "routing", "gracefulShutdown", "expected a duration above 0"},
 	}
 	for _, r := range rules {
 		if !r.ok {
@@ -115,7 +115,7 @@
 func (s Settings) checkNames(file string, data []byte) error {
 	seen := make(map[string]bool)
 	for i, c := range s.Routing.Classes {
-		if c.Name == "" || seen[string(c.Name)] || c.MaxWait <= 0 {
+		if c.Name == "" || seen[string(c.Name)] || c.MaxWait.Std() <= 0 {
 			return &tomlfile.FieldError{File: file, Line: tomlfile.Line(data, "routing.class", i, "name"), Field: "routing.class.name", Expected: "expected a name of its own and a maxWait above 0"}
 		}
 		seen[string(c.Name)] = true
--- a/process/tomlfile/tomlfile.go
+++ b/process/tomlfile/tomlfile.go
@@ -5,6 +5,7 @@
 	stderrors "errors"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strings"
 	"time"
 
@@ -20,8 +21,8 @@
 		Expected string
 	}
 
-	// Duration is a length of time written with its unit, such as "250ms".
-	Duration time.Duration
+	// Duration is a length of time written with its unit, such as "250ms"; being a struct, it takes no bare number.
+	Duration struct{ value time.Duration }
 
 	// Address is an IP number with a port, such as "127.0.0.1:8001".
 	Address struct{ netip.AddrPort }
@@ -38,15 +39,18 @@
 	if err != nil {
 		return fmt.Errorf("expected a duration with a unit such as \"250ms\", not %q", text)
 	}
-	*d = Duration(v)
+	d.value = v
 	return nil
 }
 
 // MarshalText writes the duration with its unit.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.value.String()), nil }
 
 // Std returns the duration as the standard library's type.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
+func (d Duration) Std() time.Duration { return d.value }
+
+// NewDuration returns a duration of the standard library's type as settings hold it.
+func NewDuration(d time.Duration) Duration { return Duration{value: d} }
 
 // UnmarshalText reads an address, and fails on anything but an IP number with a port.
 func (a *Address) UnmarshalText(text []byte) error {
@@ -78,7 +82,21 @@
 		line, _ := decode.Position()
 		return &FieldError{File: file, Line: line, Field: fieldName(decode, data, line), Expected: strings.TrimPrefix(decode.Error(), "toml: ")}
 	}
-	return &FieldError{File: file, Line: 1, Field: "file", Expected: err.Error()}
+	line := lineOf(data, v, err)
+	return &FieldError{File: file, Line: line, Field: fieldAt(data, line), Expected: strings.TrimPrefix(err.Error(), "toml: ")}
+}
+
+// lineOf returns the first line with which the decoder gives an error that itself names none.
+func lineOf(data []byte, v any, err error) int {
+	lines := bytes.SplitAfter(data, []byte("\n"))
+	for n := range lines {
+		fresh := reflect.New(reflect.TypeOf(v).Elem()).Interface()
+		again := toml.NewDecoder(bytes.NewReader(bytes.Join(lines[:n+1], nil))).DisallowUnknownFields().Decode(fresh)
+		if again != nil && again.Error() == err.Error() {
+			return n + 1
+		}
+	}
+	return 1
 }
 
 // Line returns the line of a key in the n-th table (from 0) of that name, or the table's own line, or 1.
@@ -109,6 +127,11 @@
 	if key := strings.Join(err.Key(), "."); key != "" {
 		return key
 	}
+	return fieldAt(data, line)
+}
+
+// fieldAt returns the key that stands on a line.
+func fieldAt(data []byte, line int) string {
 	lines := strings.Split(string(data), "\n")
 	if line < 1 || line > len(lines) {
 		return "file"
--- /dev/null
+++ b/replay/baseline.go
@@ -0,0 +1,245 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/rank"
+)
+
+// Baselines are the simple policies that the routers are compared with.
+const (
+	RoundRobin    Policy = "roundRobin"
+	LeastReported Policy = "leastReported"
+	TwoChoices    Policy = "twoChoices"
+	Rendezvous    Policy = "rendezvous"
+
+	listPeriod     = time.Second
+	baselineTries  = 3
+	priorityHigh   = "10"
+	priorityLow    = "0"
+	maxEventsBytes = 1 << 20
+)
+
+type (
+	// Policy names a way of choosing an engine.
+	Policy string
+
+	// List reads the platform's list of instances.
+	List func(ctx context.Context) ([]fleet.Instance, error)
+
+	// Baseline is a target that sends each chat straight to an engine of a policy's choice.
+	Baseline struct {
+		policy Policy
+		model  ident.Model
+		list   List
+		http   *http.Client
+		stop   context.CancelFunc
+		tasks  sync.WaitGroup
+
+		mu      sync.Mutex
+		random  *rand.Rand
+		engines []fleet.Instance
+		desks   []fleet.Instance
+		loads   map[string]int
+		next    int
+	}
+)
+
+// NewBaseline returns a target of a policy that follows the list and the engines' reports.
+func NewBaseline(policy Policy, model ident.Model, list List, seed uint64) (*Baseline, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	b := &Baseline{
+		policy: policy, model: model, list: list, stop: stop, http: &http.Client{Transport: engine.NewTransport()},
+		random: rand.New(rand.NewPCG(seed, 1)), loads: make(map[string]int),
+	}
+	if err := b.refresh(ctx); err != nil {
+		stop()
+		return nil, err
+	}
+	b.tasks.Go(func() {
+		for ctx.Err() == nil {
+			select {
+			case <-time.After(listPeriod):
+			case <-ctx.Done():
+			}
+			_ = b.refresh(ctx)
+		}
+	})
+	return b, nil
+}
+
+// Close stops following the list.
+func (b *Baseline) Close() {
+	b.stop()
+	b.tasks.Wait()
+	b.http.CloseIdleConnections()
+}
+
+// Send carries out a request, at another engine where one refuses it or fails.
+func (b *Baseline) Send(ctx context.Context, q Request, first func()) error {
+	if q.Kind != Chat {
+		return b.sendDesk(ctx, q)
+	}
+	var last error
+	for try := range baselineTries {
+		address := b.choose(q, try)
+		if last = b.sendChat(ctx, address, q, first); last == nil {
+			return nil
+		}
+	}
+	return last
+}
+
+// choose returns the engine of the policy's choice.
+func (b *Baseline) choose(q Request, try int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.engines)
+	if n == 0 {
+		return ""
+	}
+	switch b.policy {
+	case LeastReported:
+		best := b.random.IntN(n)
+		for i, e := range b.engines {
+			if b.loads[e.Address] < b.loads[b.engines[best].Address] {
+				best = i
+			}
+		}
+		return b.engines[best].Address
+	case TwoChoices:
+		x, y := b.engines[b.random.IntN(n)].Address, b.engines[b.random.IntN(n)].Address
+		if b.loads[y] < b.loads[x] {
+			return y
+		}
+		return x
+	case Rendezvous:
+		members := make([]rank.Member, n)
+		for i, e := range b.engines {
+			members[i] = rank.Member{Name: e.ID, Weight: 1}
+		}
+		order := rank.Order(string(q.Chat), members, try+1)
+		return b.engines[order[min(try, len(order)-1)]].Address
+	default:
+		b.next++
+		return b.engines[b.next%n].Address
+	}
+}
+
+func (b *Baseline) sendChat(ctx context.Context, address string, q Request, first func()) error {
+	messages := q.Messages()
+	body, err := json.Marshal(struct {
+		Model     ident.Model `json:"model"`
+		Stream    bool        `json:"stream"`
+		User      ident.Chat  `json:"user"`
+		MaxTokens int         `json:"max_tokens"`
+		Messages  any         `json:"messages"`
+	}{b.model, true, q.Chat, q.MaxTokens, messages})
+	if err != nil {
+		return errors.Wrap(err, "encode chat")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build chat")
+	}
+	req.Header.Set(engine.HeaderPriority, priorityHigh)
+	if q.Class == "long" {
+		req.Header.Set(engine.HeaderPriority, priorityLow)
+	}
+	resp, err := b.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send chat")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("engine answered %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxEventsBytes)
+	var text strings.Builder
+	for events := 0; lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if events++; events == 1 {
+			first()
+		}
+		text.WriteString(contentOf(data))
+	}
+	return whole(text.String(), messages, q.MaxTokens)
+}
+
+func (b *Baseline) sendDesk(ctx context.Context, q Request) error {
+	b.mu.Lock()
+	b.next++
+	address := b.desks[b.next%len(b.desks)].Address
+	b.mu.Unlock()
+	method, path := http.MethodGet, "/catalogue"
+	if q.Kind == Booking {
+		method, path = http.MethodPost, "/bookings"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(`{}`))
+	if err != nil {
+		return errors.Wrap(err, "build call")
+	}
+	resp, err := b.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call service")
+	}
+	return resp.Body.Close()
+}
+
+// refresh reads the list and every engine's report.
+func (b *Baseline) refresh(ctx context.Context) error {
+	list, err := b.list(ctx)
+	if err != nil {
+		return err
+	}
+	var engines, desks []fleet.Instance
+	loads := make(map[string]int)
+	for _, i := range list {
+		switch {
+		case i.State != fleet.StateLive || i.Role == fleet.RoleRouter:
+		case i.Role == fleet.RoleService:
+			desks = append(desks, i)
+		default:
+			report, err := engine.New(i.Address, b.http.Transport).Load(ctx)
+			if err != nil || report.Leaving {
+				continue
+			}
+			engines = append(engines, i)
+			loads[i.Address] = report.Running + report.Waiting
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines, b.desks, b.loads = engines, desks, loads
+	return nil
+}
+
+func contentOf(data string) string {
+	var chunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Delta.Content
+}
--- /dev/null
+++ b/replay/generate.go
@@ -0,0 +1,127 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// Mix says what a generated trace is made of; rates are in requests a second.
+type Mix struct {
+	Seed          uint64
+	Duration      time.Duration
+	Organisations int
+	// Chats is how many chats return over and over.
+	Chats int
+	// Interactive, Standard and Long are the rates of chat requests by class.
+	Interactive float64
+	Standard    float64
+	Long        float64
+	// Desk is the rate of catalogue calls and bookings together.
+	Desk float64
+	// Swing multiplies the rates from SwingFrom to SwingTo.
+	Swing     float64
+	SwingFrom time.Duration
+	SwingTo   time.Duration
+	// Stragglers is the share of requests that run ten times as long.
+	Stragglers float64
+	// Expect is the outcome stated for every request.
+	Expect Expect
+}
+
+const (
+	prefixTokens     = 200
+	firstPrompt      = 400
+	promptGrowth     = 100
+	maxPrompt        = 1600
+	interactiveReply = 24
+	standardReply    = 40
+	longReply        = 400
+	stragglerFactor  = 10
+	bookingShare     = 0.3
+	largeShare       = 0.7
+	largeOrgs        = 3
+)
+
+// MuseumMix returns the museum's mix: kiosk answers, label drafts, provenance notes and the desk.
+func MuseumMix(seed uint64, d time.Duration) Mix {
+	return Mix{
+		Seed: seed, Duration: d, Organisations: 10, Chats: 400, Interactive: 90, Standard: 20, Long: 4, Desk: 10,
+		Stragglers: 0.01, Expect: Answered,
+	}
+}
+
+// TrustMix returns the Trust's mix: species checks, banding summaries and band issues, with swings of five times.
+func TrustMix(seed uint64, d time.Duration) Mix {
+	m := MuseumMix(seed, d)
+	m.Interactive, m.Standard, m.Long, m.Desk = 40, 20, 1, 20
+	m.Swing, m.SwingFrom, m.SwingTo = 5, d/2, d/2+2*time.Second
+	return m
+}
+
+// Generate returns the trace of a mix; the same mix gives the same trace.
+func Generate(m Mix) []Request {
+	random := rand.New(rand.NewPCG(m.Seed, 0))
+	turns := make(map[int]int)
+	var trace []Request
+	for _, stream := range []struct {
+		class  ident.Class
+		rate   float64
+		tokens int
+	}{{"interactive", m.Interactive, interactiveReply}, {"standard", m.Standard, standardReply}, {"long", m.Long, longReply}} {
+		m.arrivals(random, stream.rate, func(at time.Duration) {
+			chat := random.IntN(max(m.Chats, 1))
+			prompt := min(firstPrompt+promptGrowth*turns[chat], maxPrompt)
+			turns[chat]++
+			tokens := stream.tokens
+			if random.Float64() < m.Stragglers {
+				tokens *= stragglerFactor
+			}
+			trace = append(trace, Request{
+				AtMs: at.Milliseconds(), Kind: Chat, Organisation: organisationOf(chat, m.Organisations),
+				Chat: ident.Chat(fmt.Sprintf("chat-%d", chat)), Class: stream.class, PrefixTokens: prefixTokens,
+				PromptTokens: prompt, MaxTokens: tokens, Expect: m.Expect,
+			})
+		})
+	}
+	m.arrivals(random, m.Desk, func(at time.Duration) {
+		q := Request{AtMs: at.Milliseconds(), Kind: Catalogue, Organisation: organisationOf(random.IntN(100), m.Organisations), Expect: m.Expect}
+		if random.Float64() < bookingShare {
+			q.Kind = Booking
+			q.Key = fmt.Sprintf("booking-%d-%d", m.Seed, len(trace))
+		}
+		trace = append(trace, q)
+	})
+	slices.SortStableFunc(trace, func(a, b Request) int { return int(a.AtMs - b.AtMs) })
+	return trace
+}
+
+// arrivals calls add at random times of a rate.
+func (m Mix) arrivals(random *rand.Rand, rate float64, add func(time.Duration)) {
+	if rate <= 0 {
+		return
+	}
+	for at := time.Duration(0); ; {
+		now := rate
+		if m.Swing > 0 && at >= m.SwingFrom && at < m.SwingTo {
+			now *= m.Swing
+		}
+		at += time.Duration(random.ExpFloat64() / now * float64(time.Second))
+		if at >= m.Duration {
+			return
+		}
+		add(at)
+	}
+}
+
+// organisationOf gives most chats to a few large organisations.
+func organisationOf(chat, organisations int) ident.Organisation {
+	n := chat % max(organisations, 1)
+	if float64(chat%10) < largeShare*10 {
+		n = chat % min(largeOrgs, max(organisations, 1))
+	}
+	return ident.Organisation(fmt.Sprintf("organisation-%02d", n+1))
+}
--- /dev/null
+++ b/standin/capacity/doc.go
@@ -0,0 +1,2 @@
+// Package capacity works out what each role of a router costs at the target size from recorded slopes.
+package capacity
--- /dev/null
+++ b/standin/measure/control.go
@@ -0,0 +1,180 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/caller"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/standin/check"
+	"github.com/vanillaroute/vanillaroute/standin/embedded"
+	"github.com/vanillaroute/vanillaroute/standin/site"
+)
+
+const (
+	restTime    = 5 * time.Second
+	settleTime  = 2 * time.Second
+	changeSpace = 500 * time.Millisecond
+)
+
+// Control measures what a router sends and computes for control: at rest by the number of peers and engines, and for each change.
+func Control() ([]Slope, error) {
+	var slopes []Slope
+	for _, m := range []struct {
+		slope Slope
+		sizes []int
+		cost  Cost
+	}{
+		{Slope{Name: "restBytes", Unit: Bytes, Per: "router in the fleet, sent each second by one"}, []int{3, 9, 18, 36}, restBytes},
+		{Slope{Name: "restCPU", Unit: CPUMicros, Per: "router in the fleet, each second at one"}, []int{3, 9, 18, 36}, restCPU},
+		{Slope{Name: "pollBytes", Unit: Bytes, Per: "engine at its home, each second"}, []int{3, 12, 30}, pollBytes},
+		{Slope{Name: "changeBytes", Unit: Bytes, Per: "configuration change, sent by one of nine routers"}, []int{8, 16, 32}, changeBytes},
+		{Slope{Name: "streamMemory", Unit: Bytes, Per: "stream in progress, with caller and engine stand-in"}, []int{100, 300, 900}, streamMemory},
+		{Slope{Name: "storeWrites", Unit: Count, Per: "booking a second, store transactions a second"}, []int{1, 100, 500}, storeWrites},
+	} {
+		m.slope.Command = "go run . measure control"
+		s, err := fit(m.slope, m.sizes, 1, m.cost)
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+// small runs routers before a few engines, without load.
+func small(routers, engines int) (*embedded.Deployment, error) {
+	plan := site.Museum()
+	plan.Engines = engines
+	d, err := embedded.Start(plan, embedded.Options{Routers: routers})
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	return d, nil
+}
+
+func controlSent(d *embedded.Deployment) float64 {
+	sum := int64(0)
+	for _, n := range d.Nodes() {
+		sum += n.Router.ControlBytes()
+	}
+	return float64(sum) / float64(len(d.Nodes()))
+}
+
+func restBytes(routers int) (float64, error) { return sentAtRest(routers, 3) }
+
+func pollBytes(engines int) (float64, error) { return sentAtRest(1, engines) }
+
+func sentAtRest(routers, engines int) (float64, error) {
+	d, err := small(routers, engines)
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	before := controlSent(d)
+	time.Sleep(restTime)
+	return (controlSent(d) - before) / restTime.Seconds(), nil
+}
+
+func restCPU(routers int) (float64, error) {
+	d, err := small(routers, 3)
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	before := cpu()
+	time.Sleep(restTime)
+	return float64((cpu() - before).Microseconds()) / restTime.Seconds() / float64(routers), nil
+}
+
+// changeBytes returns what one of nine routers sends more than at rest for some changes of the lists.
+func changeBytes(changes int) (float64, error) {
+	const routers = 9
+	d, err := small(routers, 3)
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	before := controlSent(d)
+	took := time.Duration(changes)*changeSpace + time.Second
+	time.Sleep(took)
+	rest := controlSent(d) - before
+	before = controlSent(d)
+	start := time.Now()
+	for i, e := range organisations(changes) {
+		d.Site.Store.Put(e.Key, e.Value)
+		time.Sleep(time.Until(start.Add(time.Duration(i+1) * changeSpace)))
+	}
+	time.Sleep(time.Until(start.Add(took)))
+	return controlSent(d) - before - rest, nil
+}
+
+// streamMemory returns the memory of streams that are held in the middle of their answers.
+func streamMemory(streams int) (float64, error) {
+	plan := site.Museum()
+	plan.Engine.Slots = 512
+	plan.Engine.DecodeToken = time.Hour
+	plan.Unlimited = true
+	d, err := embedded.Start(plan, embedded.Options{Routers: 3})
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	before := heap()
+	var group sync.WaitGroup
+	c := caller.New(d.Addresses(), d.Site.Organisations[0].Key)
+	for i := range streams {
+		group.Go(func() {
+			s, err := c.Stream(ctx, caller.Chat{
+				Model: plan.Model, Chat: ident.Chat(fmt.Sprint("chat-", i)), Messages: []caller.Message{{Role: "user", Content: "bell"}}, MaxTokens: 2,
+			})
+			if err == nil {
+				_, _ = s.ReadAll()
+			}
+		})
+	}
+	time.Sleep(settleTime)
+	after := heap()
+	runtime.KeepAlive(d)
+	cancel()
+	group.Wait()
+	return after - before, nil
+}
+
+// storeWrites returns the store's transactions in a second at a rate of bookings.
+func storeWrites(rate int) (float64, error) {
+	plan := site.Museum()
+	plan.Engines, plan.Unlimited = 1, true
+	d, err := embedded.Start(plan, embedded.Options{Routers: 3})
+	if err != nil {
+		return 0, err
+	}
+	defer d.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), trafficTimeout)
+	defer cancel()
+	c := caller.New(d.Addresses(), d.Site.Organisations[0].Key)
+	before := d.Site.Store.Stats().Writes
+	n := int(bookingTime.Seconds()) * rate
+	var group sync.WaitGroup
+	start := time.Now()
+	for i := range n {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		group.Go(func() {
+			_, _ = c.Do(ctx, caller.Call{Service: site.DeskService, Method: http.MethodPost, Path: "/bookings", Key: fmt.Sprintf("k-%d-%d", rate, i), Body: []byte(`{}`)})
+		})
+	}
+	group.Wait()
+	took := time.Since(start).Seconds()
+	if ran := len(check.Executions(d.Site.Desks)); ran != n {
+		return 0, errors.Errorf("%d of %d bookings ran", ran, n)
+	}
+	return float64(d.Site.Store.Stats().Writes-before) / took, nil
+}
--- /dev/null
+++ b/standin/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure measures what one unit of load costs a router, as slopes over several sizes.
+package measure
--- /dev/null
+++ b/standin/measure/traffic.go
@@ -0,0 +1,225 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/standin/embedded"
+	"github.com/vanillaroute/vanillaroute/standin/site"
+)
+
+const (
+	trafficRepeats  = 3
+	trafficParallel = 32
+	tokensOfRequest = 400
+	trafficTimeout  = 5 * time.Minute
+	pacedTime       = 20 * time.Millisecond
+	pacedLength     = 100
+	bookingTime     = 4 * time.Second
+)
+
+type (
+	// path is a way to the same engine: straight, or through one or two routers.
+	path struct {
+		name    string
+		address string
+		key     string
+	}
+
+	// bench is a deployment with one engine, whose home is known.
+	bench struct {
+		d      *embedded.Deployment
+		client *http.Client
+		paths  []path
+	}
+)
+
+// newBench runs two routers before one engine with a time between tokens.
+func newBench(tokenTime time.Duration) (*bench, error) {
+	plan := site.Museum()
+	plan.Engines, plan.Desks, plan.Unlimited = 1, 1, true
+	plan.Engine.Slots = 4096
+	plan.Engine.DecodeToken, plan.Engine.PrefillToken, plan.Engine.BatchSlowdown = tokenTime, 0, 0
+	d, err := embedded.Start(plan, embedded.Options{Routers: 2, Change: func(s *settings.Settings) { s.Routing.QueueLimit = 4096 }})
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{d: d, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048}}}
+	key := d.Site.Organisations[0].Key
+	b.paths = []path{{name: "direct", address: "http://" + d.Site.Engines[0].Address()}}
+	for _, n := range d.Nodes() {
+		p := path{name: "oneHop", address: "http://" + n.Router.CallerAddress(), key: key}
+		if !n.Router.IsHome("engine-01") {
+			p.name = "twoHops"
+		}
+		b.paths = append(b.paths, p)
+	}
+	return b, nil
+}
+
+func (b *bench) close() { b.d.Close() }
+
+func (b *bench) path(name string) path {
+	for _, p := range b.paths {
+		if p.name == name {
+			return p
+		}
+	}
+	return path{}
+}
+
+// send streams one chat of some tokens and reads it to the end.
+func (b *bench) send(ctx context.Context, p path, tokens, n int) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"user":"chat-%d","messages":[{"role":"user","content":"bell %d"}]}`, b.d.Site.Plan.Model, tokens, n, n)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+p.key)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send chat")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read chat")
+	}
+	if !strings.HasSuffix(string(answer), "data: [DONE]\n\n") {
+		return errors.Errorf("%s: answer is not whole: %.200s", p.name, answer)
+	}
+	return nil
+}
+
+// load sends requests over some tasks and returns the processor time used.
+func (b *bench) load(p path, requests, tokens, parallel int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), trafficTimeout)
+	defer cancel()
+	next := make(chan int, requests)
+	for i := range requests {
+		next <- i
+	}
+	close(next)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	start := cpu()
+	for range parallel {
+		group.Go(func() {
+			for i := range next {
+				if err := b.send(ctx, p, tokens, i); err != nil {
+					mu.Lock()
+					failed = err
+					mu.Unlock()
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return cpu() - start, failed
+}
+
+// Traffic measures the processor time of routers for each token and each request, over one and two hops.
+func Traffic() ([]Slope, error) {
+	b, err := newBench(0)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	if _, err := b.load(b.path("twoHops"), trafficParallel, tokensOfRequest, trafficParallel); err != nil {
+		return nil, err
+	}
+	var slopes []Slope
+	for _, m := range []struct {
+		name   Name
+		per    string
+		path   string
+		tokens int
+		sizes  []int
+	}{
+		{"burstTokenOneHop", "token of a burst", "oneHop", tokensOfRequest, []int{100_000, 200_000, 400_000}},
+		{"burstTokenTwoHops", "token of a burst", "twoHops", tokensOfRequest, []int{100_000, 200_000, 400_000}},
+		{"requestOneHop", "request", "oneHop", 1, []int{4000, 8000, 16_000}},
+		{"requestTwoHops", "request", "twoHops", 1, []int{4000, 8000, 16_000}},
+	} {
+		s := Slope{Name: m.name, Unit: CPUMicros, Per: m.per, Command: "go run . measure traffic"}
+		s, err := fit(s, m.sizes, trafficRepeats, func(size int) (float64, error) { return b.added(m.path, size/m.tokens, m.tokens) })
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	paced, err := pacedTokens()
+	if err != nil {
+		return nil, err
+	}
+	slopes = append(slopes, paced...)
+	wireBytes, err := wirePerToken()
+	if err != nil {
+		return nil, err
+	}
+	return append(slopes, wireBytes...), nil
+}
+
+// pacedTokens measures tokens that come one by one in many streams, as engines give them.
+func pacedTokens() ([]Slope, error) {
+	b, err := newBench(pacedTime)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	var slopes []Slope
+	for name, way := range map[Name]string{"pacedTokenOneHop": "oneHop", "pacedTokenTwoHops": "twoHops"} {
+		s := Slope{Name: name, Unit: CPUMicros, Per: "token that comes by itself", Command: "go run . measure traffic"}
+		s, err := fit(s, []int{20_000, 40_000, 80_000}, trafficRepeats, func(size int) (float64, error) {
+			streams := size / pacedLength
+			direct, err := b.load(b.path("direct"), streams, pacedLength, streams)
+			if err != nil {
+				return 0, err
+			}
+			routed, err := b.load(b.path(way), streams, pacedLength, streams)
+			return float64((routed - direct).Microseconds()), err
+		})
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+// added returns the processor time of the routers: that of a run through them less that of a run without them.
+func (b *bench) added(name string, requests, tokens int) (float64, error) {
+	direct, err := b.load(b.path("direct"), requests, tokens, trafficParallel)
+	if err != nil {
+		return 0, err
+	}
+	routed, err := b.load(b.path(name), requests, tokens, trafficParallel)
+	if err != nil {
+		return 0, err
+	}
+	return float64((routed - direct).Microseconds()), nil
+}
+
+// wirePerToken measures the bytes of a frame between routers by how many events it carries.
+func wirePerToken() ([]Slope, error) {
+	event := []byte(`{"id":"chatcmpl-ade8c85a09f9709616d9442d","object":"chat.completion.chunk","created":1796355809,"model":"bell-assistant","choices":[{"index":0,"delta":{"content":"2f18.0 "},"finish_reason":null}]}`)
+	s := Slope{Name: "frameBytes", Unit: Bytes, Per: "token in a frame", Command: "go run . measure traffic"}
+	s, err := fit(s, []int{1, 4, 16, 64}, 1, func(size int) (float64, error) {
+		items := make([][]byte, size)
+		for i := range items {
+			items[i] = event
+		}
+		return float64(len(wire.Encode(wire.Events{First: 1000, Items: items})) + wire.HeaderBytes), nil
+	})
+	return []Slope{s}, err
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 		Organisations int
 		Engine        engine.Shape
 		DeskTime      time.Duration
+		// Unlimited leaves the rates out of the allowances.
+		Unlimited bool
 	}
 
 	// Organisation is a customer with its key in the clear, for callers of the stand-ins.
@@ -184,15 +187,20 @@
 	return nil
 }
 
-func (s *Site) serveInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Site) serveInstances(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	shown := []fleet.Instance{}
+	shown, tag := []fleet.Instance{}, ""
 	for i, p := range s.published {
 		if i == 0 || time.Since(p.at) >= s.lag {
-			shown = p.list
+			shown, tag = p.list, strconv.Quote(strconv.Itoa(i))
 		}
 	}
 	s.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(shown)
 }
@@ -214,6 +222,9 @@
 		{Plan: "large", RequestsPerSecond: 2000, TokensPerSecond: 2_000_000, Concurrency: 2000},
 		{Plan: "small", RequestsPerSecond: 200, TokensPerSecond: 200_000, Concurrency: 200},
 	} {
+		if s.Plan.Unlimited {
+			a = lists.Allowance{Plan: a.Plan}
+		}
 		a.Models = []ident.Model{s.Plan.Model}
 		a.Services = []ident.Service{DeskService}
 		put(a.Key(), a)
--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -20,7 +20,7 @@
 		reports map[ident.Model]map[ident.Router]report
 	}
 
-	// Total is the load of a model over the fleet.
+	// Total is the load of a model over the engines whose homes reported lately: all of a small fleet, a sample of a large one.
 	Total struct {
 		Running int
 		Engines int
