--- a/cmd/client.go
+++ b/cmd/client.go
@@ -57,5 +57,18 @@
 			return status, errors.Wrap(json.Unmarshal(data, answer), "decode answer")
 		}
 	}
-	return resp.StatusCode, errors.Errorf("router answered %s: %s", resp.Status, bytes.TrimSpace(data))
+	return resp.StatusCode, errors.Errorf("router answered %s: %s", resp.Status, messageOf(data))
+}
+
+// messageOf returns the message of an error body, or the whole of any other.
+func messageOf(data []byte) string {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &body) == nil && body.Error.Message != "" {
+		return body.Error.Message
+	}
+	return string(bytes.TrimSpace(data))
 }
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -48,5 +48,8 @@
 			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.2f\t%t\n", e.Engine, e.Home, e.Running, e.Queued, e.Weight, e.Leaving)
 		}
 	}
+	for _, r := range body.Rejected {
+		fmt.Fprintf(table, "\nnot in force: %s, revision %d: %s\n", r.Key, r.Revision, r.Reason)
+	}
 	return table.Flush()
 }
--- a/connection/callers/admin.go
+++ b/connection/callers/admin.go
@@ -31,7 +31,8 @@
 
 	// StatusBody is the answer of GET /admin/status.
 	StatusBody struct {
-		Routers []wire.StatusReply `json:"routers"`
+		Routers  []wire.StatusReply `json:"routers"`
+		Rejected []config.Rejected  `json:"rejected,omitempty"`
 	}
 )
 
@@ -78,7 +79,7 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, StatusBody{Routers: s.Status(r.Context())})
+	writeJSON(w, http.StatusOK, StatusBody{Routers: s.Status(r.Context()), Rejected: s.Config.Rejected()})
 }
 
 func applyRefusal(err error) *wire.Refusal {
--- /dev/null
+++ b/request/ledger/ledger_test.go
@@ -0,0 +1,234 @@
+package ledger_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/ledger"
+	"pgregory.net/rapid"
+)
+
+type (
+	// memoryStore is a store whose next calls may fail in a stated way.
+	memoryStore struct {
+		store.Store
+		mu      sync.Mutex
+		entries map[string]store.Entry
+		rev     ident.Revision
+		faults  []storeFault
+	}
+
+	storeFault int
+
+	// desk counts the executions of each key.
+	desk struct {
+		mu   sync.Mutex
+		runs map[string]int
+		lose map[string]bool
+	}
+)
+
+const (
+	works storeFault = iota
+	refuses
+	losesCall
+	losesAnswer
+	storeFaults
+)
+
+// init fixes the seed of the drawn cases; -rapid.seed on the command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func newStore(faults ...storeFault) *memoryStore {
+	return &memoryStore{entries: make(map[string]store.Entry), rev: 1, faults: faults}
+}
+
+func (s *memoryStore) Grant(context.Context, time.Duration) (store.Lease, error) { return 1, nil }
+
+func (s *memoryStore) Commit(_ context.Context, t store.Txn) (store.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := works
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	switch fault {
+	case refuses:
+		return store.Result{}, &store.UnavailableError{Cause: errors.New("down")}
+	case losesCall:
+		return store.Result{}, &store.UnknownError{Cause: errors.New("lost")}
+	}
+	result := s.commit(t)
+	if fault == losesAnswer {
+		return store.Result{}, &store.UnknownError{Cause: errors.New("lost")}
+	}
+	return result, nil
+}
+
+func (s *memoryStore) commit(t store.Txn) store.Result {
+	held := true
+	var found []store.Entry
+	for _, c := range t.Conditions {
+		e, ok := s.entries[c.Key]
+		held = held && e.Revision == c.Revision
+		if ok {
+			found = append(found, e)
+		}
+	}
+	if !held {
+		return store.Result{Revision: s.rev, Found: found}
+	}
+	s.rev++
+	for _, p := range t.Puts {
+		if p.Delete {
+			delete(s.entries, p.Key)
+			continue
+		}
+		s.entries[p.Key] = store.Entry{Key: p.Key, Value: p.Value, Revision: s.rev}
+	}
+	return store.Result{Held: true, Revision: s.rev}
+}
+
+func (d *desk) send(_ context.Context, call wire.ServiceCall) (wire.ServiceAnswer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[call.Key]++
+	if d.lose[call.Key] {
+		return wire.ServiceAnswer{}, errors.New("answer lost")
+	}
+	return wire.ServiceAnswer{Status: 200, Body: []byte(fmt.Sprint("run ", d.runs[call.Key], " of ", call.Key))}, nil
+}
+
+// routersOf returns ledgers of routers that share a store and a desk; dead routers are alive to nobody.
+func routersOf(t *testing.T, n int, s store.Store, d *desk, dead map[ident.Router]bool) []*ledger.Ledger {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	ledgers := make([]*ledger.Ledger, n)
+	for i := range ledgers {
+		id := ident.Router(fmt.Sprint("router-", i))
+		ledgers[i] = ledger.New(ctx, ledger.Parts{
+			Self: id, Incarnation: 1, Store: s, Send: d.send, Point: func(string, ident.Request) {},
+			Alive: func(r ident.Router, _ ident.Incarnation) bool { return !dead[r] },
+			Forward: func(ctx context.Context, owner ident.Router, call wire.ServiceCall) (wire.ServiceAnswer, error) {
+				for j := range ledgers {
+					if owner == ident.Router(fmt.Sprint("router-", j)) {
+						return ledgers[j].Do(ctx, call, time.Now()), nil
+					}
+				}
+				return wire.ServiceAnswer{}, errors.New("unknown owner")
+			},
+		})
+	}
+	return ledgers
+}
+
+func callOf(key string) wire.ServiceCall {
+	return wire.ServiceCall{Request: "r", Organisation: "o", Service: "desk", Method: "POST", Path: "/bookings", Key: key, Body: []byte("{}")}
+}
+
+// TestEachKeyRunsAtMostOnce sends keys at once and again through several routers while the store fails in drawn ways.
+func TestEachKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var faults []storeFault
+		for _, f := range rapid.SliceOfN(rapid.IntRange(0, int(storeFaults)-1), 0, 12).Draw(rt, "faults") {
+			faults = append(faults, storeFault(f))
+		}
+		keys := []string{"a", "b", "c"}
+		d := &desk{runs: make(map[string]int), lose: map[string]bool{"c": rapid.Bool().Draw(rt, "answerLost")}}
+		ledgers := routersOf(t, 3, newStore(faults...), d, nil)
+		answers := make([]map[string]wire.ServiceAnswer, len(ledgers))
+		for range 2 {
+			var group sync.WaitGroup
+			for i, l := range ledgers {
+				answers[i] = make(map[string]wire.ServiceAnswer)
+				for _, key := range keys {
+					if !rapid.Bool().Draw(rt, "sent") {
+						continue
+					}
+					group.Go(func() {
+						a := l.Do(context.Background(), callOf(key), time.Now())
+						d.mu.Lock()
+						defer d.mu.Unlock()
+						answers[i][key] = a
+					})
+				}
+			}
+			group.Wait()
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for key, n := range d.runs {
+			if n > 1 {
+				rt.Fatalf("%s ran %d times", key, n)
+			}
+		}
+		for i := range answers {
+			for key, a := range answers[i] {
+				want := "run 1 of " + key
+				if a.Refusal == nil && string(a.Body) != want {
+					rt.Fatalf("%s was answered %q, want %q", key, a.Body, want)
+				}
+			}
+		}
+	})
+}
+
+func TestIntentOfADeadRouterIsNotRunAgain(t *testing.T) {
+	s := newStore()
+	d := &desk{runs: make(map[string]int)}
+	dead := map[ident.Router]bool{"router-0": true}
+	ledgers := routersOf(t, 2, s, d, dead)
+	ctx, cancel := context.WithCancel(context.Background())
+	stuck := ledger.New(ctx, ledger.Parts{
+		Self: "router-0", Incarnation: 1, Store: s, Point: func(step string, _ ident.Request) {
+			if step == "intentWritten" {
+				cancel()
+				select {}
+			}
+		},
+	})
+	go stuck.Do(context.Background(), callOf("k"), time.Now())
+	<-ctx.Done()
+	a := ledgers[1].Do(context.Background(), callOf("k"), time.Now())
+	if a.Refusal == nil || a.Refusal.Outcome != wire.OutcomeUnknown || d.runs["k"] != 0 {
+		t.Errorf("got %+v after %d runs, want an unknown outcome and no run", a.Refusal, d.runs["k"])
+	}
+}
+
+func TestMintedKeysOfAnotherLifeAreRefused(t *testing.T) {
+	d := &desk{runs: make(map[string]int)}
+	now := time.Now()
+	l := routersOf(t, 1, newStore(refuses, refuses, refuses, refuses), d, nil)[0]
+	key := l.Mint(now)
+	tests := []struct {
+		name, key string
+		at        time.Time
+		ran       bool
+	}{
+		{"minted here", key, now, true},
+		{"again", key, now, true},
+		{"expired", key, now.Add(ledger.MintedLife), false},
+		{"of another life", "vr1~router-0~0~nonce", now, false},
+	}
+	for _, tt := range tests {
+		a := l.Do(context.Background(), callOf(tt.key), tt.at)
+		if (a.Refusal == nil) != tt.ran {
+			t.Errorf("%s: got %+v", tt.name, a.Refusal)
+		}
+		if !tt.ran && a.Refusal.Outcome == wire.NotRun {
+			t.Errorf("%s: told notRun, but an earlier life may have run it", tt.name)
+		}
+	}
+	if d.runs[key] != 1 {
+		t.Errorf("ran %d times", d.runs[key])
+	}
+}
--- a/version/apply/apply.go
+++ b/version/apply/apply.go
@@ -27,6 +27,8 @@
 		Key      string          `json:"key"`
 		Value    json.RawMessage `json:"value"`
 		Revision ident.Revision  `json:"revision,omitempty"`
+		// Unchanged says that the operator left the entry as it was read.
+		Unchanged bool `json:"unchanged,omitempty"`
 	}
 
 	// Request holds one whole list as an operator wants it, and the revision that the operator started from.
@@ -182,7 +184,7 @@
 		present[c.Key] = true
 		e, ok := wanted[c.Key]
 		switch {
-		case ok && sameContent(e.Value, c.Value):
+		case ok && (e.Unchanged || sameContent(e.Value, c.Value)):
 		case !ok && c.Revision > r.Base:
 		case c.Revision > r.Base:
 			conflicts = append(conflicts, conflictOf(c))
@@ -193,7 +195,7 @@
 		}
 	}
 	for _, e := range r.Entries {
-		if !present[e.Key] {
+		if !present[e.Key] && !e.Unchanged {
 			changes = append(changes, change{key: e.Key, value: stamped(e.Value, mark)})
 		}
 	}
--- a/version/lists/lists.go
+++ b/version/lists/lists.go
@@ -22,6 +22,7 @@
 	Prefix = "/vanillaroute/lists/"
 
 	hashHexLength = 2 * sha256.Size
+	contentBytes  = 8
 )
 
 type (
@@ -30,6 +31,8 @@
 		Organisation ident.Organisation `json:"organisation" toml:"organisation"`
 		Plan         ident.Plan         `json:"plan" toml:"plan"`
 		KeyHashes    []string           `json:"keyHashes" toml:"keyHashes"`
+		// ReadAs identifies the content that the entry was read with, so that one left alone is known in an edited file.
+		ReadAs string `json:"-" toml:"readAs,omitempty"`
 	}
 
 	// Allowance says what one plan may use: models, services, and rates for the whole fleet.
@@ -40,6 +43,8 @@
 		RequestsPerSecond float64         `json:"requestsPerSecond" toml:"requestsPerSecond"`
 		TokensPerSecond   float64         `json:"tokensPerSecond" toml:"tokensPerSecond"`
 		Concurrency       int             `json:"concurrency" toml:"concurrency"`
+		// ReadAs identifies the content that the entry was read with, as in PlanEntry.
+		ReadAs string `json:"-" toml:"readAs,omitempty"`
 	}
 
 	// File is the content of a list file: either list, or both.
@@ -110,6 +115,16 @@
 	return nil
 }
 
+// Content identifies what an entry says, whatever it was read with.
+func Content(entry any) string {
+	body, err := json.Marshal(entry)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:contentBytes])
+}
+
 // MayUseModel reports whether the allowance names the model.
 func (a Allowance) MayUseModel(m ident.Model) bool { return slices.Contains(a.Models, m) }
 
