fix: a body that crashes engines takes down at most two

Cause: TestRequestCrashesAtMostTwoEngines counted 22 crashes: an engine that restarted within the resume pause counted as alive, queued copies were sent to the restarted engine, and a copy refused because the engine was down went on to a third one instead of to the suspects' engine. Change: a stream that the engine has forgotten is a crash; queued requests are checked again before they are sent; being a suspect goes before the engine being down; entries remember suspects too. Ruled out: the stand-in's own double counting of one crash, mended as well (a life crashes once). Conclusion: holds for one chat and for none; a body sent under ever new chat ids is not covered.

--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -33,13 +33,13 @@
 }
 
 // edited writes a list with a replacement to a file.
-func edited(t *testing.T, list, old, new string) string {
+func edited(t *testing.T, list, from, to string) string {
 	t.Helper()
-	if !strings.Contains(list, old) {
-		t.Fatalf("%q is not in the list:\n%s", old, list)
+	if !strings.Contains(list, from) {
+		t.Fatalf("%q is not in the list:\n%s", from, list)
 	}
 	file := filepath.Join(t.TempDir(), "list.toml")
-	if err := os.WriteFile(file, []byte(strings.Replace(list, old, new, 1)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(strings.Replace(list, from, to, 1)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return file
--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -13,6 +13,9 @@
 	"github.com/vanillaroute/vanillaroute/request/run"
 )
 
+// lostError tells that an engine was gone, or had forgotten a stream, when it was to be resumed.
+type lostError struct{ cause error }
+
 const (
 	resumeTries   = 2
 	resumeSpacing = 50 * time.Millisecond
@@ -56,9 +59,7 @@
 		case <-time.After(resumeSpacing):
 		case <-ctx.Done():
 		}
-		if again := e.client.Resume(ctx, r.Submit.Request, r.Next(), event); again == nil || errors.As(again, &cut) {
-			err = again
-		}
+		err = asLost(e.client.Resume(ctx, r.Submit.Request, r.Next(), event))
 	}
 	if cause := context.Cause(ctx); cause != nil && err != nil {
 		return cause
@@ -143,7 +144,10 @@
 	}
 	var dial *engine.DialError
 	var status *engine.StatusError
+	var lost *lostError
 	switch {
+	case errors.As(err, &lost):
+		return e.crashed(r, now)
 	case errors.As(err, &dial):
 		e.set.fleet.EngineDown(e.id, now)
 		return wire.End{Refusal: wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s cannot be reached", e.id)}
@@ -154,24 +158,34 @@
 	case r.Context().Err() != nil:
 		return wire.End{Refusal: &wire.Refusal{Status: statusClosed, Code: wire.CodeBadRequest, Message: "cancelled", Outcome: wire.Failed}}
 	default:
-		e.noteCut(now)
-		refusal := failed("engine %s lost the request", string(e.id))
-		refusal.Crashed = e.set.suspects.Engines(r.Fingerprint)
-		return wire.End{Refusal: refusal}
+		if _, err := e.client.Load(e.set.ctx); err != nil {
+			return e.crashed(r, now)
+		}
+		return wire.End{Refusal: failed("engine %s cut the answer", string(e.id))}
 	}
 }
 
-// noteCut asks a lost engine for its report; where it has none, all that it ran becomes suspect.
-func (e *Engine) noteCut(now time.Time) {
-	if _, err := e.client.Load(e.set.ctx); err == nil {
-		return
+// crashed makes suspects of all that ran on an engine that is gone, or has forgotten what it ran.
+func (e *Engine) crashed(r *run.Run, now time.Time) wire.End {
+	e.mu.Lock()
+	for other := range e.active {
+		e.set.suspects.Crashed(other.Fingerprint, e.id, now)
 	}
+	e.mu.Unlock()
 	e.set.fleet.EngineDown(e.id, now)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for r := range e.active {
-		e.set.suspects.Crashed(r.Fingerprint, e.id, now)
+	refusal := failed("engine %s lost the request", string(e.id))
+	refusal.Crashed = e.set.suspects.Engines(r.Fingerprint)
+	return wire.End{Refusal: refusal}
+}
+
+// asLost marks the error of a resume that found the engine gone, or without the stream.
+func asLost(err error) error {
+	var dial *engine.DialError
+	var status *engine.StatusError
+	if errors.As(err, &dial) || errors.As(err, &status) {
+		return &lostError{cause: err}
 	}
+	return err
 }
 
 // stop cancels what the engine may still run; the slot stays taken until the engine has answered.
@@ -231,6 +245,12 @@
 	return !errors.As(err, &dial) && !errors.As(err, &status)
 }
 
+// Error names the cause.
+func (e *lostError) Error() string { return "engine lost the stream: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *lostError) Unwrap() error { return e.cause }
+
 func smooth(old, sample time.Duration) time.Duration {
 	if old == 0 {
 		return sample
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -114,14 +114,9 @@
 	return nil
 }
 
-// unfit returns why the engine may not take the run at all.
+// unfit returns why the engine may not take the run at all; that it is a suspect counts first, since another copy of it
+// may be why the engine is down.
 func (e *Engine) unfit(r *run.Run, now time.Time) *wire.Refusal {
-	if e.leaving || e.instance.State == fleet.StateLeaving {
-		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeLeaving, "engine %s is leaving", e.id)
-	}
-	if e.set.fleet.IsDown(e.id, now) {
-		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s is down", e.id)
-	}
 	crashed := e.set.suspects.Engines(r.Fingerprint)
 	if len(crashed) >= suspects.MaxEngines {
 		refusal := wire.Refuse(http.StatusUnprocessableEntity, wire.CodeSuspect, "the request crashed %d engines", len(crashed))
@@ -135,6 +130,12 @@
 		refusal.Crashed = crashed
 		return refusal
 	}
+	if e.leaving || e.instance.State == fleet.StateLeaving {
+		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeLeaving, "engine %s is leaving", e.id)
+	}
+	if e.set.fleet.IsDown(e.id, now) {
+		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s is down", e.id)
+	}
 	return nil
 }
 
@@ -154,6 +155,10 @@
 		if !ok {
 			return
 		}
+		if refusal := e.unfit(item.Value, now); refusal != nil {
+			e.drop(item.Value, refusal, now)
+			continue
+		}
 		e.set.metrics.QueueTime(item.Organisation, item.Value.Submit.Class, now.Sub(item.Queued))
 		e.active[item.Value] = &attempt{long: item.Long, started: now, last: now}
 		e.set.tasks.Go(func() { e.run(item.Value) })
--- a/process/router/helpers_test.go
+++ b/process/router/helpers_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"testing"
@@ -23,3 +24,12 @@
 	}
 	return resp.StatusCode, string(body)
 }
+
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	body, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
--- /dev/null
+++ b/process/router/policy_test.go
@@ -0,0 +1,231 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/caller"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/router"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/standin/certificates"
+	"github.com/vanillaroute/vanillaroute/standin/check"
+	"github.com/vanillaroute/vanillaroute/standin/embedded"
+	"github.com/vanillaroute/vanillaroute/standin/engine"
+	"github.com/vanillaroute/vanillaroute/version/lists"
+	"go.uber.org/zap"
+)
+
+// TestRequestCrashesAtMostTwoEngines sends one body again and again through every router, at once and one by one.
+func TestRequestCrashesAtMostTwoEngines(t *testing.T) {
+	tests := []struct {
+		name string
+		chat func(i int) ident.Chat
+	}{
+		{"one chat", func(int) ident.Chat { return "poisoned" }},
+		{"no chat", func(int) ident.Chat { return "" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := deploy(t, embedded.Options{})
+			ctx := testContext(t)
+			for _, e := range d.Site.Engines {
+				e.SetFaults(engine.Faults{CrashOnBody: "poison", RestartMs: 100})
+			}
+			send := func(i int) {
+				c := newCaller(t, d, d.Addresses()[i%3])
+				s, err := c.Stream(ctx, caller.Chat{Model: d.Site.Plan.Model, Chat: tt.chat(i), Messages: []caller.Message{{Role: "user", Content: "poison"}}, MaxTokens: 4})
+				if err == nil {
+					_, err = s.ReadAll()
+				}
+				var told *caller.Error
+				if !errors.As(err, &told) || told.Outcome == "notRun" {
+					t.Errorf("send %d: got %v, want a failure that does not claim notRun", i, err)
+				}
+			}
+			var group sync.WaitGroup
+			for i := range 6 {
+				group.Go(func() { send(i) })
+			}
+			group.Wait()
+			for i := range 6 {
+				send(i)
+				time.Sleep(150 * time.Millisecond)
+			}
+			crashes := 0
+			for _, e := range d.Site.Engines {
+				crashes += e.Crashes()
+			}
+			if crashes > check.MaxCrashes {
+				t.Errorf("%d engines crashed", crashes)
+			}
+			if err := ask(ctx, newCaller(t, d), d.Site.Plan.Model, 1); err != nil {
+				t.Errorf("an ordinary chat afterwards: %v", err)
+			}
+		})
+	}
+}
+
+// TestLimitHoldsOverTheFleet drives one organisation through three routers at four times its rate.
+func TestLimitHoldsOverTheFleet(t *testing.T) {
+	const (
+		limit  = 50.0
+		length = 4 * time.Second
+	)
+	d := deploy(t, embedded.Options{})
+	ctx := testContext(t)
+	small := lists.Allowance{Plan: "large", Models: []ident.Model{d.Site.Plan.Model}, RequestsPerSecond: limit}
+	putAllowance(t, d, small)
+	var accepted, refused atomic.Int64
+	var group sync.WaitGroup
+	start := time.Now()
+	for i := 0; time.Since(start) < length; i++ {
+		c := newCaller(t, d, d.Addresses()[i%3])
+		group.Go(func() {
+			err := ask(ctx, c, d.Site.Plan.Model, i%20)
+			var told *caller.Error
+			switch {
+			case err == nil:
+				accepted.Add(1)
+			case errors.As(err, &told) && told.Code == "rate_limit_exceeded" && told.Outcome == "notRun":
+				refused.Add(1)
+			default:
+				t.Error(err)
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	const burst, floor = 1.0, 0.05
+	most := limit * (length.Seconds()*(1+2*floor) + burst*(1+2*floor))
+	least := limit * length.Seconds() / 2
+	if n := float64(accepted.Load()); n > most || n < least {
+		t.Errorf("%v requests were accepted in %s, want %v to %v", n, length, least, most)
+	}
+	if refused.Load() == 0 {
+		t.Error("nothing was refused: the limit was not reached")
+	}
+}
+
+// TestLeavingEngineGetsNothingNew has an engine leave while the list still shows it for ten seconds.
+func TestLeavingEngineGetsNothingNew(t *testing.T) {
+	d := deploy(t, embedded.Options{})
+	d.Site.SetLag(10 * time.Second)
+	ctx := testContext(t)
+	leaving := d.Site.Engines[2]
+	leaving.SetFaults(engine.Faults{AnnounceLeaving: true})
+	var group sync.WaitGroup
+	for i := 0; time.Since(leaving.LeftAt()) < 5*time.Second; i++ {
+		c := newCaller(t, d, d.Addresses()[i%3])
+		group.Go(func() {
+			if err := ask(ctx, c, d.Site.Plan.Model, i); err != nil {
+				t.Error(err)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	if late := check.StartedAfter(leaving, leaving.LeftAt().Add(3*time.Second)); len(late) > 0 {
+		t.Errorf("%d requests started more than 3 s after the engine began to leave", len(late))
+	}
+	if begun := len(leaving.Log()); begun == 0 {
+		t.Error("the engine never had work: the test shows nothing")
+	}
+}
+
+// TestListThatEmptiesIsNotBelieved takes most instances off the list at once.
+func TestListThatEmptiesIsNotBelieved(t *testing.T) {
+	d := deploy(t, embedded.Options{})
+	ctx := testContext(t)
+	for _, e := range d.Site.Engines {
+		d.Site.RemoveInstance(string(e.Shape().ID))
+	}
+	for _, n := range d.Nodes() {
+		d.Site.RemoveInstance(string(n.Settings.Router.ID))
+	}
+	time.Sleep(2 * time.Second)
+	for i := range 20 {
+		if err := ask(ctx, newCaller(t, d, d.Addresses()[i%3]), d.Site.Plan.Model, i); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestOnlyRoutersWithACertificateJoin has three routers with certificates, and one without that knows their addresses.
+func TestOnlyRoutersWithACertificateJoin(t *testing.T) {
+	authority, err := certificates.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := deploy(t, embedded.Options{Change: func(s *settings.Settings) {
+		quick(s)
+		if s.Peers, err = authority.Issue(time.Now()); err != nil {
+			t.Error(err)
+		}
+	}})
+	ctx := testContext(t)
+	for i := range 12 {
+		if err := ask(ctx, newCaller(t, d, d.Addresses()[i%3]), d.Site.Plan.Model, i); err != nil {
+			t.Error(err)
+		}
+	}
+	stranger := startStranger(t, d)
+	time.Sleep(2 * time.Second)
+	if n := stranger.Peers(); n != 1 {
+		t.Errorf("the stranger sees %d routers", n)
+	}
+	for _, n := range d.Nodes() {
+		if seen := n.Router.Peers(); seen != 3 {
+			t.Errorf("router %s sees %d routers", n.Settings.Router.ID, seen)
+		}
+	}
+}
+
+// startStranger runs a router without a certificate that is listed like the others.
+func startStranger(t *testing.T, d *embedded.Deployment) *router.Router {
+	t.Helper()
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	o := router.Options{Log: zap.NewNop(), Callers: listen(), Peers: listen()}
+	s, err := d.Site.Settings("stranger", "brest", o.Callers.Addr().String(), o.Peers.Addr().String(), d.OperatorKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Site.ListRouter(s)
+	r, err := router.New(s, o, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		r.Kill()
+		stop()
+		<-done
+	})
+	return r
+}
+
+func putAllowance(t *testing.T, d *embedded.Deployment, a lists.Allowance) {
+	t.Helper()
+	revision := ident.Revision(d.Site.Store.Put(a.Key(), encode(t, a)))
+	for _, n := range d.Nodes() {
+		for deadline := time.Now().Add(inForceWithin); n.Router.EntryRevision(a.Key()) != revision; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal(fmt.Sprint(n.Settings.Router.ID, " has not got the change"))
+			}
+		}
+	}
+}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -118,7 +118,7 @@
 	})
 	r.shares = limits.NewShares(r.self, r.askShare, func() int { return len(r.fleet.View().Placed()) })
 	r.relay = &relay.Relay{
-		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled, Point: point,
+		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled, Point: point, Suspects: r.suspects,
 		Hedges: relay.NewHedges(r.settings.Routing.HedgeShare), Retries: relay.NewRetries(),
 	}
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -36,32 +36,35 @@
 
 	// Relay is what all chats of a router share.
 	Relay struct {
-		Policy  settings.Routing
-		View    func() *fleet.View
-		Open    Open
-		Lost    func(ident.Router)
-		Spilled func(home ident.Router, note wire.SpillNote)
-		Point   func(step string, id ident.Request)
-		Hedges  *Hedges
-		Retries *Budget
+		Policy   settings.Routing
+		View     func() *fleet.View
+		Open     Open
+		Lost     func(ident.Router)
+		Spilled  func(home ident.Router, note wire.SpillNote)
+		Point    func(step string, id ident.Request)
+		Suspects *suspects.Table
+		Hedges   *Hedges
+		Retries  *Budget
 	}
 
 	// chat is one request on its way.
 	chat struct {
 		*Relay
-		submit   wire.Submit
-		sink     Sink
-		key      string
-		passed   int
-		received string
-		kept     [][]byte
-		order    []ident.Engine
-		next     int
-		spill    ident.Engine
-		failures int
-		handed   bool
-		started  time.Time
-		deadline time.Time
+		submit wire.Submit
+		sink   Sink
+		key    string
+		// fingerprint identifies the body, for telling which requests crash engines.
+		fingerprint uint64
+		passed      int
+		received    string
+		kept        [][]byte
+		order       []ident.Engine
+		next        int
+		spill       ident.Engine
+		failures    int
+		handed      bool
+		started     time.Time
+		deadline    time.Time
 	}
 
 	// step says what to do after an attempt.
@@ -79,6 +82,11 @@
 	c := &chat{Relay: r, submit: submit, sink: sink, passed: submit.From, received: submit.Received, started: now}
 	c.deadline = now.Add(r.Policy.Class(submit.Class).MaxWait.Std())
 	c.key = PickKey(submit)
+	c.fingerprint = suspects.Fingerprint(submit.Organisation, submit.Body)
+	c.submit.Crashed = r.Suspects.Engines(c.fingerprint)
+	if len(c.submit.Crashed) >= suspects.MaxEngines {
+		return crashedTooMany(), nil
+	}
 	c.rank()
 	r.Retries.Request()
 	for {
@@ -112,7 +120,7 @@
 func (c *chat) rank() {
 	key := c.key
 	if len(c.submit.Crashed) > 0 {
-		key = "suspect\x00" + strconv.FormatUint(suspects.Fingerprint(c.submit.Organisation, c.submit.Body), 16)
+		key = "suspect\x00" + strconv.FormatUint(c.fingerprint, 16)
 	}
 	c.order = c.order[:0]
 	for _, e := range c.View().Candidates(c.submit.Model, key, MaxCandidates) {
@@ -291,6 +299,7 @@
 }
 
 func (c *chat) suspect(refusal *wire.Refusal, end wire.End) (wire.End, step, error) {
+	c.noteCrashes(refusal.Crashed)
 	if len(refusal.Crashed) >= suspects.MaxEngines {
 		return end, stepEnd, nil
 	}
@@ -302,6 +311,7 @@
 func (c *chat) engineFailed(engine ident.Engine, refusal *wire.Refusal, end wire.End) (wire.End, step, error) {
 	c.handed = true
 	c.failures++
+	c.noteCrashes(refusal.Crashed)
 	if c.failures > maxFailures || !c.Retries.Take() {
 		return end, stepEnd, nil
 	}
@@ -315,6 +325,13 @@
 	return end, c.skip(engine), nil
 }
 
+// noteCrashes lets this router know what the home knows, so that a body sent here again meets it at once.
+func (c *chat) noteCrashes(engines []ident.Engine) {
+	for _, e := range engines {
+		c.Suspects.Crashed(c.fingerprint, e, time.Now())
+	}
+}
+
 func (c *chat) reroute(crashed []ident.Engine) {
 	c.submit.Crashed = crashed
 	c.submit.Engine = ""
@@ -346,6 +363,12 @@
 	return wire.End{Refusal: wire.Refuse(status, code, "%s", message)}
 }
 
+func crashedTooMany() wire.End {
+	end := refused(http.StatusUnprocessableEntity, wire.CodeSuspect, "the request crashed engines before")
+	end.Refusal.Outcome = wire.Failed
+	return end
+}
+
 func failure(message string) wire.End {
 	end := refused(http.StatusBadGateway, wire.CodeEngine, message)
 	end.Refusal.Outcome = wire.Failed
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -145,9 +145,10 @@
 	if f.Leaving || f.AnnounceLeaving {
 		e.leftAt = time.Now()
 	}
+	life := e.crashes
 	e.mu.Unlock()
 	if f.Crash {
-		e.crash()
+		e.crash(life)
 	}
 }
 
@@ -185,10 +186,10 @@
 	go func() { _ = server.Serve(ln) }()
 }
 
-// crash ends everything that runs, and comes back after a while with an empty cache.
-func (e *Engine) crash() {
+// crash ends everything that runs, and comes back after a while with an empty cache; a life crashes once.
+func (e *Engine) crash(life int) {
 	e.mu.Lock()
-	if e.closed {
+	if e.closed || life != e.crashes {
 		e.mu.Unlock()
 		return
 	}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -89,6 +89,7 @@
 		return
 	}
 	crash := e.faults.CrashOnBody != "" && bytes.Contains(body, []byte(e.faults.CrashOnBody))
+	life := e.crashes
 	s, known := e.streams[id]
 	if !known || id == "" {
 		s = e.begin(id, p, from, r.Header.Get("X-Priority"))
@@ -96,7 +97,7 @@
 	e.mu.Unlock()
 	if crash {
 		time.Sleep(e.scaled(e.shape.DecodeToken))
-		e.crash()
+		e.crash(life)
 		panic(http.ErrAbortHandler)
 	}
 	if !known {
--- /dev/null
+++ b/standin/measure/bench_test.go
@@ -0,0 +1,46 @@
+package measure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkRequest compares a one-token chat straight to the engine with the same over one and two routers.
+func BenchmarkRequest(b *testing.B) {
+	bench, err := newBench(0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer bench.close()
+	for _, streams := range []int{1, 64, 1000} {
+		for _, p := range bench.paths {
+			b.Run(fmt.Sprintf("%s/streams-%d", p.name, streams), func(b *testing.B) {
+				if _, err := bench.load(p, b.N, 1, streams); err != nil {
+					b.Fatal(err)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPacedTokens compares streams whose tokens come one by one.
+func BenchmarkPacedTokens(b *testing.B) {
+	bench, err := newBench(pacedTime)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer bench.close()
+	const streams = 400
+	for _, p := range bench.paths {
+		b.Run(p.name, func(b *testing.B) {
+			for b.Loop() {
+				used, err := bench.load(p, streams, pacedLength, streams)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(used)/float64(time.Microsecond)/(streams*pacedLength), "µsCPU/token")
+			}
+		})
+	}
+}
