--- a/process/home/memory.go
+++ b/process/home/memory.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// chats remembers which chats an engine served lately, whose prefix it may still have.
+type chats struct {
+	cache *lru.Cache[ident.Chat, struct{}]
+}
+
+func newChats(size int) *chats { return &chats{cache: newCache[ident.Chat, struct{}](size)} }
+
+func (c *chats) add(chat ident.Chat) {
+	if chat != "" {
+		c.cache.Add(chat, struct{}{})
+	}
+}
+
+func (c *chats) has(chat ident.Chat) bool { return chat != "" && c.cache.Contains(chat) }
+
 func newLengths() *lengths {
 	return &lengths{cache: newCache[lengthKey, float64](lengthEntries)}
 }
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -14,6 +14,7 @@
 	defaultLongShare         = 0.6
 	defaultQueueLimit        = 256
 	defaultHedgeShare        = 0.03
+	defaultCacheWait         = 100 * time.Millisecond
 	defaultFirstTokenTimeout = 10 * time.Second
 	defaultStallTimeout      = 5 * time.Second
 	defaultAddressValidity   = 10 * time.Second
@@ -53,6 +54,7 @@
 	orDefault(&r.LongShare, defaultLongShare)
 	orDefault(&r.QueueLimit, defaultQueueLimit)
 	orDefault(&r.HedgeShare, defaultHedgeShare)
+	orDefault(&r.CacheWait, tomlfile.NewDuration(defaultCacheWait))
 	orDefault(&r.FirstTokenTimeout, tomlfile.NewDuration(defaultFirstTokenTimeout))
 	orDefault(&r.StallTimeout, tomlfile.NewDuration(defaultStallTimeout))
 	orDefault(&r.AddressValidity, tomlfile.NewDuration(defaultAddressValidity))
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -52,7 +52,9 @@
 		// QueueLimit is how many requests may wait for one engine.
 		QueueLimit int `toml:"queueLimit"`
 		// HedgeShare is the share of requests that may be sent to a second engine.
-		HedgeShare        float64           `toml:"hedgeShare"`
+		HedgeShare float64 `toml:"hedgeShare"`
+		// CacheWait is how long a chat waits for the engine that has its prefix before it goes to another.
+		CacheWait         tomlfile.Duration `toml:"cacheWait"`
 		FirstTokenTimeout tomlfile.Duration `toml:"firstTokenTimeout"`
 		StallTimeout      tomlfile.Duration `toml:"stallTimeout"`
 		AddressValidity   tomlfile.Duration `toml:"addressValidity"`
--- a/replay/generate.go
+++ b/replay/generate.go
@@ -33,7 +33,7 @@
 }
 
 const (
-	prefixTokens     = 200
+	prefixTokens     = 64
 	firstPrompt      = 400
 	promptGrowth     = 100
 	maxPrompt        = 1600
@@ -49,7 +49,7 @@
 // MuseumMix returns the museum's mix: kiosk answers, label drafts, provenance notes and the desk.
 func MuseumMix(seed uint64, d time.Duration) Mix {
 	return Mix{
-		Seed: seed, Duration: d, Organisations: 10, Chats: 400, Interactive: 90, Standard: 20, Long: 4, Desk: 10,
+		Seed: seed, Duration: d, Organisations: 10, Chats: 150, Interactive: 180, Standard: 40, Long: 6, Desk: 10,
 		Stragglers: 0.01, Expect: Answered,
 	}
 }
@@ -77,7 +77,7 @@
 			prompt := min(firstPrompt+promptGrowth*turns[chat], maxPrompt)
 			turns[chat]++
 			tokens := stream.tokens
-			if random.Float64() < m.Stragglers {
+			if stream.class != "long" && random.Float64() < m.Stragglers {
 				tokens *= stragglerFactor
 			}
 			trace = append(trace, Request{
--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -30,6 +30,8 @@
 
 	report struct {
 		sum wire.ModelSum
+		// low is the lower of the last two loads: a sum of peaks of different moments would be above any moment's total.
+		low int
 		at  time.Time
 	}
 )
@@ -49,7 +51,11 @@
 			byRouter = make(map[ident.Router]report)
 			t.reports[s.Model] = byRouter
 		}
-		byRouter[from] = report{sum: s, at: now}
+		low := s.Running
+		if old, ok := byRouter[from]; ok {
+			low = min(low, old.sum.Running)
+		}
+		byRouter[from] = report{sum: s, low: low, at: now}
 	}
 }
 
@@ -70,7 +76,7 @@
 		if from == self {
 			continue
 		}
-		total.Running += r.sum.Running
+		total.Running += r.low
 		total.Engines += r.sum.Engines
 		if r.sum.GapMicros > 0 {
 			gaps = append(gaps, r.sum.GapMicros)
