feat: refuse at the crest what would come too late; bound of running requests by running requests only

Cause: at 1.5 times capacity the kiosk's queue grew to its 10 s limit, so that answers came after 2.9 s at the median and only 269 good answers a second were left; starts over the bound came from counting waiting requests as load, and from the stand-in telling of an end before it had freed the slot. Change: the default class interactive waits 1.5 s at most, by expected wait before anything is sent; the start of a request is bounded by running requests, its placing by running and waiting ones; the stand-in frees first.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -176,6 +176,8 @@
 	ModelSum struct {
 		Model   ident.Model
 		Running int
+		// Waiting counts what waits for a slot, without what could run on another engine.
+		Waiting int
 		Engines int
 		// GapMicros is the median time between tokens on the router's engines.
 		GapMicros int64
--- a/process/home/admission.go
+++ b/process/home/admission.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroute/vanillaroute/request/queue"
 	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/sums"
 )
 
 // admit takes the run into the queue, or says why not; a refusal means that nothing was handed over.
@@ -90,7 +91,7 @@
 		e.lastTrial = now
 		return false, nil
 	}
-	bound := e.bound(now)
+	bound := e.bound(now, sums.Total.PlaceBound)
 	if r.Submit.LastChoice || e.holdsFingerprint(r.Fingerprint) || e.load() < bound {
 		return false, nil
 	}
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroute/vanillaroute/request/queue"
 	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/sums"
 )
 
 const (
@@ -48,8 +49,9 @@
 		settled   bool
 		leaving   bool
 
-		// assigned and gapNanos are read by the other engines of this home without the lock.
-		assigned atomic.Int64
+		// running, waiting and gapNanos are read by the other engines of this home without the lock.
+		running  atomic.Int64
+		waiting  atomic.Int64
 		gapNanos atomic.Int64
 	}
 
@@ -97,6 +99,7 @@
 		delete(e.patient, item.Value)
 		e.set.metrics.QueueTime(item.Organisation, item.Value.Submit.Class, now.Sub(item.Queued))
 		e.active[item.Value] = &attempt{long: item.Long, started: now, last: now}
+		e.count()
 		e.set.tasks.Go(func() { e.run(item.Value) })
 	}
 }
@@ -109,7 +112,7 @@
 
 // slots returns the places that may be taken now.
 func (e *Engine) slots(now time.Time) queue.Slots {
-	s := queue.Slots{Total: min(e.capacity(), e.bound(now)) - e.foreign(), Running: len(e.active)}
+	s := queue.Slots{Total: min(e.capacity(), e.bound(now, sums.Total.RunBound)) - e.foreign(), Running: len(e.active)}
 	for _, a := range e.active {
 		if a.long {
 			s.RunningLong++
@@ -142,17 +145,20 @@
 
 // count publishes the load to the other engines of this home; what waits for its prefix could run elsewhere, and counts
 // nowhere yet.
-func (e *Engine) count() { e.assigned.Store(int64(e.load() - len(e.patient))) }
+func (e *Engine) count() {
+	e.running.Store(int64(len(e.active)))
+	e.waiting.Store(int64(e.queue.Len() - len(e.patient)))
+}
 
 // load counts all that this home has assigned to the engine.
 func (e *Engine) load() int { return len(e.active) + e.queue.Len() }
 
-// bound returns how many requests the engine may hold.
-func (e *Engine) bound(now time.Time) int {
+// bound returns the largest bound of a kind over the engine's models.
+func (e *Engine) bound(now time.Time, kind func(t sums.Total, loadBound, weight float64) int) int {
 	bound := 1
 	for _, m := range e.instance.Models {
 		total := e.set.total(m, now)
-		bound = max(bound, total.Bound(e.set.policy.LoadBound, e.weight(total.Gap)))
+		bound = max(bound, kind(total, e.set.policy.LoadBound, e.weight(total.Gap)))
 	}
 	return bound
 }
--- a/process/home/set.go
+++ b/process/home/set.go
@@ -225,7 +225,8 @@
 	sum := wire.ModelSum{Model: m}
 	var gaps []int64
 	for _, e := range (*s.index.Load())[m] {
-		sum.Running += int(e.assigned.Load())
+		sum.Running += int(e.running.Load())
+		sum.Waiting += int(e.waiting.Load())
 		sum.Engines++
 		if gap := e.gapNanos.Load(); gap > 0 {
 			gaps = append(gaps, gap/int64(time.Microsecond))
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -20,6 +20,7 @@
 	defaultAddressValidity   = 10 * time.Second
 	defaultGracefulShutdown  = 60 * time.Second
 	defaultMaxWait           = 10 * time.Second
+	defaultInteractiveWait   = 1500 * time.Millisecond
 	defaultLongMaxWait       = 60 * time.Second
 	defaultLogLevel          = "info"
 	hashHexLength            = 64
@@ -61,7 +62,7 @@
 	orDefault(&r.GracefulShutdown, tomlfile.NewDuration(defaultGracefulShutdown))
 	orDefault(&s.Log.Level, defaultLogLevel)
 	if len(r.Classes) == 0 {
-		r.Classes = []Class{{Name: "standard"}, {Name: "interactive"}, {Name: "long", Long: true}}
+		r.Classes = []Class{{Name: "standard"}, {Name: "interactive", MaxWait: tomlfile.NewDuration(defaultInteractiveWait)}, {Name: "long", Long: true}}
 	}
 	for i := range r.Classes {
 		c := &r.Classes[i]
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -38,6 +38,8 @@
 		outcome Outcome
 		changed chan struct{}
 		stopped chan struct{}
+		// released is closed once the stream holds no slot.
+		released chan struct{}
 	}
 
 	// prompt is what the engine reads of a request's body.
@@ -124,6 +126,10 @@
 	e.mu.Unlock()
 	if ok {
 		s.stop(Cancelled)
+		select {
+		case <-s.released:
+		case <-r.Context().Done():
+		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -137,7 +143,7 @@
 	entry := &Entry{RequestID: id, ChatID: ident.Chat(p.User), Outcome: Running, PromptTokens: p.tokens}
 	s := &stream{
 		request: id, entry: entry, prompt: p, from: from, priority: rank, granted: make(chan struct{}),
-		outcome: Running, changed: make(chan struct{}), stopped: make(chan struct{}),
+		outcome: Running, changed: make(chan struct{}), stopped: make(chan struct{}), released: make(chan struct{}),
 	}
 	if e.faults.DropReply > 0 {
 		e.faults.DropReply--
@@ -172,22 +178,29 @@
 
 // generate produces the answer's tokens at the engine's speed, whether anyone reads or not.
 func (e *Engine) generate(s *stream) {
-	defer e.release(s)
+	outcome := e.produce(s)
+	e.release(s, outcome)
+	s.stop(outcome)
+	close(s.released)
+}
+
+// produce emits the tokens, and returns how that ended.
+func (e *Engine) produce(s *stream) Outcome {
 	select {
 	case <-s.granted:
 	case <-s.stopped:
-		return
+		return s.ended()
 	}
 	e.mu.Lock()
 	uncached := s.prompt.tokens - s.entry.CachedTokens
 	delay := time.Duration(e.faults.DelayMs) * time.Millisecond
 	e.mu.Unlock()
 	if !s.wait(delay + e.scaled(time.Duration(uncached)*e.shape.PrefillToken)) {
-		return
+		return s.ended()
 	}
 	for i := s.from; i < s.prompt.MaxTokens; i++ {
 		if !s.wait(e.decodeTime()) || !e.unhung(s) {
-			return
+			return s.ended()
 		}
 		s.emit(chunk(s.request, s.prompt.Model, Token(s.prompt.text, i), ""))
 		e.mu.Lock()
@@ -195,16 +208,21 @@
 		e.mu.Unlock()
 	}
 	s.emit(chunk(s.request, s.prompt.Model, "", "stop"))
-	s.stop(Completed)
+	return Completed
+}
+
+// ended returns why the stream was stopped.
+func (s *stream) ended() Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outcome
 }
 
-// release frees the stream's slot and forgets it after a while.
-func (e *Engine) release(s *stream) {
+// release frees the stream's slot before anyone is told of its end, and forgets it after a while.
+func (e *Engine) release(s *stream, outcome Outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.mu.Lock()
-	s.entry.Outcome = s.outcome
-	s.mu.Unlock()
+	s.entry.Outcome = outcome
 	s.entry.Ended = time.Now()
 	s.entry.EndedAtMs = s.entry.Ended.UnixMilli()
 	if e.streams[s.request] == s {
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -25,7 +25,7 @@
 	slowFactor   = 10
 	slowEngines  = 2
 	crestFactor  = 1.5
-	capacityRate = 300
+	capacityRate = 550
 	tokenTime    = 4 * time.Millisecond
 	prefillTime  = 100 * time.Microsecond
 	cacheTokens  = 32 << 10
--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -23,6 +23,7 @@
 	// Total is the load of a model over the engines whose homes reported lately: all of a small fleet, a sample of a large one.
 	Total struct {
 		Running int
+		Waiting int
 		Engines int
 		// Gap is the median over routers of the time between tokens.
 		Gap time.Duration
@@ -30,7 +31,8 @@
 
 	report struct {
 		sum wire.ModelSum
-		// low is the lower of the last two loads: a sum of peaks of different moments would be above any moment's total.
+		// low is the lower of the last two counts of running requests: a sum of peaks of different moments would be above
+		// any moment's total.
 		low int
 		at  time.Time
 	}
@@ -63,7 +65,7 @@
 func (t *Table) Total(self ident.Router, own wire.ModelSum, now time.Time) Total {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	total := Total{Running: own.Running, Engines: own.Engines}
+	total := Total{Running: own.Running, Waiting: own.Waiting, Engines: own.Engines}
 	var gaps []int64
 	if own.GapMicros > 0 {
 		gaps = append(gaps, own.GapMicros)
@@ -77,6 +79,7 @@
 			continue
 		}
 		total.Running += r.low
+		total.Waiting += r.sum.Waiting
 		total.Engines += r.sum.Engines
 		if r.sum.GapMicros > 0 {
 			gaps = append(gaps, r.sum.GapMicros)
@@ -89,8 +92,17 @@
 	return total
 }
 
-// Bound returns how many requests an engine may hold when one more is to be placed; a mean under one counts as one.
-func (t Total) Bound(loadBound, weight float64) int {
-	mean := max(1, float64(t.Running+1)/float64(max(t.Engines, 1)))
+// RunBound returns how many requests an engine may run when one more is to start; a mean under one counts as one.
+func (t Total) RunBound(loadBound, weight float64) int {
+	return t.bound(t.Running+1, loadBound, weight)
+}
+
+// PlaceBound returns how many requests an engine may hold, the waiting ones included, when one more is to be placed.
+func (t Total) PlaceBound(loadBound, weight float64) int {
+	return t.bound(t.Running+t.Waiting+1, loadBound, weight)
+}
+
+func (t Total) bound(load int, loadBound, weight float64) int {
+	mean := max(1, float64(load)/float64(max(t.Engines, 1)))
 	return max(1, int(math.Ceil(loadBound*mean*weight)))
 }
