--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -1,13 +1,10 @@
 package cmd
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/replay"
 	"github.com/vanillaroute/vanillaroute/standin/experiment"
@@ -64,28 +61,5 @@
 	if err := experiment.WriteText(cmd.OutOrStdout(), rows); err != nil {
 		return err
 	}
-	return e.write(rows)
-}
-
-func (e *experimentCmd) write(rows []experiment.Row) error {
-	if e.json != "" {
-		body, err := json.MarshalIndent(rows, "", "  ")
-		if err != nil {
-			return errors.Wrap(err, "encode rows")
-		}
-		if err := os.WriteFile(e.json, append(body, '\n'), reportMode); err != nil {
-			return errors.Wrap(err, "write rows")
-		}
-	}
-	if e.html == "" {
-		return nil
-	}
-	f, err := os.Create(e.html)
-	if err != nil {
-		return errors.Wrap(err, "create page")
-	}
-	if err := experiment.WriteHTML(f, rows); err != nil {
-		return err
-	}
-	return errors.Wrap(f.Close(), "write page")
+	return writeRows(e.json, e.html, rows)
 }
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -42,6 +42,7 @@
 		newStandinCmd().cmd,
 		newMeasureCmd().cmd,
 		newExperimentCmd().cmd,
+		newReplayCmd().cmd,
 		newCapacityCmd().cmd,
 	)
 	return root
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -58,6 +58,8 @@
 		Slots     int   `json:"slots"`
 		Leaving   bool  `json:"leaving"`
 		TakenAtMs int64 `json:"takenAtMs"`
+		// Models are the models that the engine holds; nil where it does not say.
+		Models []ident.Model `json:"models"`
 	}
 
 	// StatusError is an answer of the engine other than 200.
--- /dev/null
+++ b/process/lease/lease.go
@@ -0,0 +1,57 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// ErrHeld tells that another router holds the key.
+var ErrHeld = errors.New("another router holds the lease")
+
+// Lease is a key that this process holds; its methods are for one task.
+type Lease struct {
+	store store.Store
+	id    store.Lease
+	ttl   time.Duration
+	// since is when the last successful renewal was sent, by the monotonic clock.
+	since time.Time
+	// Fence grows with each new holder.
+	Fence ident.Revision
+}
+
+// Acquire creates the key with a lease, and fails with ErrHeld or as the store does.
+func Acquire(ctx context.Context, s store.Store, key string, holder ident.Router, ttl time.Duration, now time.Time) (*Lease, error) {
+	id, err := s.Grant(ctx, ttl)
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: []byte(holder), Lease: id}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !result.Held {
+		return nil, ErrHeld
+	}
+	return &Lease{store: s, id: id, ttl: ttl, since: now, Fence: result.Revision}, nil
+}
+
+// Renew extends the lease; it fails with store.ErrLeaseLost, or as the store does.
+func (l *Lease) Renew(ctx context.Context, now time.Time) error {
+	if err := l.store.KeepAlive(ctx, l.id); err != nil {
+		return err
+	}
+	l.since = now
+	return nil
+}
+
+// Holds reports whether the lease lasts for at least margin from now, whatever the store would say.
+func (l *Lease) Holds(now time.Time, margin time.Duration) bool {
+	return now.Add(margin).Before(l.since.Add(l.ttl))
+}
--- /dev/null
+++ b/process/orders/holder.go
@@ -0,0 +1,143 @@
+package orders
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/lease"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// Key is the store key that the holder of orders holds.
+	Key = "/vanillaroute/orders/holder"
+	// TTL is how long the lease lasts without renewal.
+	TTL = 6 * time.Second
+	// Margin is how long a lease must still last when an order is sent, and the longest that sending takes.
+	Margin = 2 * time.Second
+	// Period is how often the holder renews its lease and compares what engines hold with what is wanted.
+	Period = time.Second
+)
+
+type (
+	// Parts are what the holder of orders needs.
+	Parts struct {
+		Self  ident.Router
+		Store store.Store
+		Log   *zap.Logger
+		// Engines returns the engines as the list shows them.
+		Engines func() []fleet.Instance
+		// Wanted returns the models that some engine must hold.
+		Wanted func() []ident.Model
+		// Chosen reports whether this router is to hold the lease.
+		Chosen func() bool
+		// Loads paces the loads to what the weight store gives.
+		Loads *rate.Limiter
+		Point func(step string, id ident.Request)
+	}
+
+	// Holder orders engines while it holds the lease.
+	Holder struct {
+		Parts
+		transport http.RoundTripper
+	}
+)
+
+// New returns a holder without a lease.
+func New(p Parts) *Holder { return &Holder{Parts: p, transport: engine.NewTransport()} }
+
+// Run tries for the lease whenever this router is chosen, until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	for wait(ctx, Period) {
+		if !h.Chosen() {
+			continue
+		}
+		held, err := lease.Acquire(ctx, h.Store, Key, h.Self, TTL, time.Now())
+		if err != nil {
+			continue
+		}
+		h.Log.Info("holds the lease of orders", zap.Int64("fence", int64(held.Fence)))
+		h.hold(ctx, held)
+	}
+	return ctx.Err()
+}
+
+// hold orders until the lease is lost; where an engine does not check fences, an earlier holder's last order is waited out.
+func (h *Holder) hold(ctx context.Context, held *lease.Lease) {
+	acquired := time.Now()
+	for wait(ctx, Period) {
+		if err := held.Renew(ctx, time.Now()); err != nil && !held.Holds(time.Now(), Margin) {
+			h.Log.Warn("lost the lease of orders", zap.Error(err))
+			return
+		}
+		if !h.Chosen() {
+			return
+		}
+		if time.Since(acquired) < TTL+Margin && h.someIgnoreFences() {
+			continue
+		}
+		h.reconcile(ctx, held)
+	}
+}
+
+// reconcile sends the orders that bring the engines to what is wanted, from their own word of what they hold.
+func (h *Holder) reconcile(ctx context.Context, held *lease.Lease) {
+	engines := h.ask(ctx)
+	for _, o := range Plan(engines, h.Wanted()) {
+		if !h.Loads.Allow() {
+			return
+		}
+		checked := time.Now()
+		if !held.Holds(checked, Margin) {
+			return
+		}
+		h.Point("orderChecked", ident.Request(o.Engine.ID))
+		h.send(ctx, held.Fence, o, checked.Add(Margin))
+	}
+}
+
+// send gives up at a deadline that was set when the lease was checked, so that a pause in between sends nothing.
+func (h *Holder) send(ctx context.Context, fence ident.Revision, o Order, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	err := engine.New(o.Engine.Address, h.transport).Order(ctx, fence, o.Models)
+	h.Log.Info("ordered", zap.String("engine", o.Engine.ID), zap.Any("models", o.Models), zap.Error(err))
+}
+
+// ask returns the live engines with the models that they say they hold now, since the list lags.
+func (h *Holder) ask(ctx context.Context) []fleet.Instance {
+	var live []fleet.Instance
+	for _, e := range h.Engines() {
+		report, err := engine.New(e.Address, h.transport).Load(ctx)
+		if err != nil || report.Leaving {
+			continue
+		}
+		if report.Models != nil {
+			e.Models = report.Models
+		}
+		live = append(live, e)
+	}
+	return live
+}
+
+func (h *Holder) someIgnoreFences() bool {
+	return slices.ContainsFunc(h.Engines(), func(e fleet.Instance) bool { return !e.ChecksOrders })
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/process/orders/orders_test.go
@@ -0,0 +1,184 @@
+package orders_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/orders"
+	"github.com/vanillaroute/vanillaroute/standin/engine"
+	"github.com/vanillaroute/vanillaroute/standin/kv"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+)
+
+func engineOf(id string, room int, models ...ident.Model) fleet.Instance {
+	return fleet.Instance{ID: id, Role: fleet.RoleEngine, State: fleet.StateLive, Room: room, Models: models}
+}
+
+func TestPlanNeverTakesAModelsLastEngine(t *testing.T) {
+	tests := []struct {
+		name    string
+		engines []fleet.Instance
+		wanted  []ident.Model
+		orders  int
+		dropped ident.Model
+	}{
+		{"nothing wanted", []fleet.Instance{engineOf("a", 1, "m")}, nil, 0, ""},
+		{"held already", []fleet.Instance{engineOf("a", 1, "m")}, []ident.Model{"m"}, 0, ""},
+		{"room", []fleet.Instance{engineOf("a", 2, "m")}, []ident.Model{"m", "n"}, 1, ""},
+		{"others hold it", []fleet.Instance{engineOf("a", 1, "m"), engineOf("b", 1, "m")}, []ident.Model{"m", "n"}, 1, "m"},
+		{"last engine", []fleet.Instance{engineOf("a", 1, "m")}, []ident.Model{"m", "n"}, 0, ""},
+		{"two wanted, one to spare", []fleet.Instance{engineOf("a", 1, "m"), engineOf("b", 1, "m")}, []ident.Model{"m", "n", "o"}, 1, "m"},
+		{"leaving engine", []fleet.Instance{{ID: "a", Role: fleet.RoleEngine, State: fleet.StateLeaving, Room: 2}}, []ident.Model{"n"}, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			plan := orders.Plan(tt.engines, tt.wanted)
+			if len(plan) != tt.orders {
+				t.Fatalf("got %v, want %d orders", plan, tt.orders)
+			}
+			for _, o := range plan {
+				if o.Dropped != tt.dropped {
+					t.Errorf("dropped %q, want %q", o.Dropped, tt.dropped)
+				}
+			}
+		})
+	}
+}
+
+// site is two engines, a store and what routers need to order them.
+type site struct {
+	engines []*engine.Engine
+	store   string
+}
+
+func newSite(t *testing.T, checks bool) *site {
+	t.Helper()
+	s := &site{}
+	for i := range 2 {
+		shape := engine.Shape{ID: ident.Engine(fmt.Sprint("engine-", i)), Models: []ident.Model{"m"}, Slots: 1, ChecksOrders: checks}
+		e := engine.Start(shape, listen(t))
+		t.Cleanup(e.Close)
+		s.engines = append(s.engines, e)
+	}
+	ln := listen(t)
+	server := &http.Server{Handler: kv.New(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.store = ln.Addr().String()
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func (s *site) list() []fleet.Instance {
+	var list []fleet.Instance
+	for _, e := range s.engines {
+		shape := e.Shape()
+		list = append(list, fleet.Instance{
+			ID: string(shape.ID), Role: fleet.RoleEngine, State: fleet.StateLive, Address: e.Address(), Models: shape.Models, ChecksOrders: shape.ChecksOrders,
+		})
+	}
+	return list
+}
+
+// run starts a router's holder; point is called between the check of its lease and the order.
+func (s *site) run(ctx context.Context, id ident.Router, wanted func() []ident.Model, chosen *atomic.Bool, point func()) {
+	h := orders.New(orders.Parts{
+		Self: id, Store: store.New(s.store), Log: zap.NewNop(), Engines: s.list, Wanted: wanted,
+		Chosen: chosen.Load, Loads: rate.NewLimiter(rate.Inf, 1), Point: func(string, ident.Request) { point() },
+	})
+	go func() { _ = h.Run(ctx) }()
+}
+
+func (s *site) holds(m ident.Model) int {
+	n := 0
+	for _, e := range s.engines {
+		if slices.Contains(e.Models(), m) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestHolderPausedPastItsLease pauses a holder just before it sends, until another holds the lease and has ordered.
+func TestHolderPausedPastItsLease(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for leases to end")
+	}
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprint("engines check fences: ", checks), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, checks)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var first, second atomic.Bool
+			first.Store(true)
+			paused, resume := make(chan struct{}), make(chan struct{})
+			var once atomic.Bool
+			s.run(ctx, "router-a", func() []ident.Model { return []ident.Model{"m", "old"} }, &first, func() {
+				if once.CompareAndSwap(false, true) {
+					close(paused)
+					<-resume
+				}
+			})
+			<-paused
+			first.Store(false)
+			second.Store(true)
+			s.run(ctx, "router-b", func() []ident.Model { return []ident.Model{"m", "new"} }, &second, func() {})
+			await(t, "the second holder's model", func() bool { return s.holds("new") == 1 })
+			before := len(s.engines[0].Orders()) + len(s.engines[1].Orders())
+			close(resume)
+			time.Sleep(2 * orders.Period)
+			if after := len(s.engines[0].Orders()) + len(s.engines[1].Orders()); after != before {
+				t.Errorf("%d orders were sent after the lease had passed to another", after-before)
+			}
+			if s.holds("new") != 1 || s.holds("m") != 1 || s.holds("old") != 0 {
+				t.Errorf("new %d, m %d, old %d engines", s.holds("new"), s.holds("m"), s.holds("old"))
+			}
+		})
+	}
+}
+
+func TestOldFenceIsRefusedByEnginesThatCheck(t *testing.T) {
+	s := newSite(t, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var chosen atomic.Bool
+	chosen.Store(true)
+	s.run(ctx, "router-a", func() []ident.Model { return []ident.Model{"m", "n"} }, &chosen, func() {})
+	await(t, "the model", func() bool { return s.holds("n") == 1 })
+	for _, e := range s.engines {
+		for _, o := range e.Orders() {
+			if o.Fence == 0 || !o.Taken {
+				t.Errorf("order %+v has no fence or was refused", o)
+			}
+		}
+	}
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	const patience = 30 * time.Second
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no sign of %s in %s", what, patience)
+		}
+	}
+}
--- a/process/router/configuration.go
+++ b/process/router/configuration.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/store"
 	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/process/lease"
 	"github.com/vanillaroute/vanillaroute/version/config"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 	"go.uber.org/zap"
@@ -117,30 +116,14 @@
 
 // watchAs holds the lease of a watcher's slot and watches the store while it lasts.
 func (r *Router) watchAs(ctx context.Context, slot int) error {
-	lease, err := r.store.Grant(ctx, watcherLease)
-	if err != nil {
-		return err
-	}
 	key := watcherPrefix + string(r.settings.Router.FailureDomain) + "/" + strconv.Itoa(slot)
-	value, err := json.Marshal(struct {
-		Router ident.Router `json:"router"`
-	}{r.self})
-	if err != nil {
-		return errors.Wrap(err, "encode watcher")
-	}
-	result, err := r.store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key}},
-		Puts:       []store.Put{{Key: key, Value: value, Lease: lease}},
-	})
+	held, err := lease.Acquire(ctx, r.store, key, r.self, watcherLease, time.Now())
 	if err != nil {
 		return err
 	}
-	if !result.Held {
-		return errors.New("another router holds the slot")
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go r.renewWatcher(ctx, cancel, lease, slot)
+	go r.renewWatcher(ctx, cancel, held, slot)
 	if err := r.readStore(ctx); err != nil {
 		return err
 	}
@@ -149,14 +132,14 @@
 }
 
 // renewWatcher ends the watch once the lease is lost or the slot belongs to another router.
-func (r *Router) renewWatcher(ctx context.Context, cancel context.CancelFunc, lease store.Lease, slot int) {
+func (r *Router) renewWatcher(ctx context.Context, cancel context.CancelFunc, held *lease.Lease, slot int) {
 	defer cancel()
 	for sleep(ctx, watcherRenewal) {
 		now, ok := r.watcherSlot()
 		if !ok || now != slot {
 			return
 		}
-		if err := r.store.KeepAlive(ctx, lease); err != nil {
+		if err := held.Renew(ctx, time.Now()); err != nil {
 			return
 		}
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroute/vanillaroute/process/home"
 	"github.com/vanillaroute/vanillaroute/process/limits"
 	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/orders"
 	"github.com/vanillaroute/vanillaroute/process/settings"
 	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/ledger"
@@ -28,6 +29,7 @@
 	"github.com/vanillaroute/vanillaroute/version/sums"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 )
 
 type (
@@ -63,6 +65,7 @@
 		pool        *peer.Pool
 		store       store.Store
 		instances   *instances.Client
+		orders      *orders.Holder
 		services    *service.Client
 		identity    peer.Identity
 		callersLn   net.Listener
@@ -116,6 +119,10 @@
 	r.ledger = ledger.New(r.work, ledger.Parts{
 		Self: r.self, Incarnation: r.incarnation, Store: r.store, Send: r.sendOnce, Forward: r.forwardOnce, Alive: r.ownerAlive, Point: point,
 	})
+	r.orders = orders.New(orders.Parts{
+		Self: r.self, Store: r.store, Log: r.log, Engines: r.liveEngines, Wanted: r.config.Models, Chosen: r.ordersChosen,
+		Loads: rate.NewLimiter(rate.Limit(r.settings.Platform.LoadsPerMinute/60), 1), Point: point,
+	})
 	r.shares = limits.NewShares(r.self, r.askShare, func() int { return len(r.fleet.View().Placed()) })
 	r.relay = &relay.Relay{
 		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled, Point: point, Suspects: r.suspects,
@@ -132,6 +139,7 @@
 	group.Go(func() error { return ignoreClosed(server.Serve(r.callersLn)) })
 	group.Go(func() error { return r.followInstances(groupCtx) })
 	group.Go(func() error { return r.followConfiguration(groupCtx) })
+	group.Go(func() error { return r.orders.Run(groupCtx) })
 	group.Go(func() error { return r.gossip(groupCtx) })
 	group.Go(func() error { return r.probeLost(groupCtx) })
 	group.Go(func() error { return r.keepTime(groupCtx) })
@@ -212,6 +220,23 @@
 	r.log.Info("left", zap.Int("activeRuns", r.homes.Active()), zap.Int("activeCalls", r.ledger.Active()))
 }
 
+// ordersChosen reports whether this router is the one that orders engines.
+func (r *Router) ordersChosen() bool {
+	first := r.fleet.View().RoutersFor("orders", 1)
+	return r.config.Ready() && len(first) == 1 && ident.Router(first[0].ID) == r.self
+}
+
+// liveEngines returns the model engines of the present view.
+func (r *Router) liveEngines() []fleet.Instance {
+	var engines []fleet.Instance
+	for _, i := range r.fleet.View().Engines() {
+		if i.Role == fleet.RoleEngine && i.State == fleet.StateLive {
+			engines = append(engines, i)
+		}
+	}
+	return engines
+}
+
 // keepTime runs everything that only passes with time.
 func (r *Router) keepTime(ctx context.Context) error {
 	var tasks sync.WaitGroup
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -23,6 +23,7 @@
 	defaultInteractiveWait   = 1500 * time.Millisecond
 	defaultLongMaxWait       = 60 * time.Second
 	defaultLogLevel          = "info"
+	defaultLoadsPerMinute    = 6
 	hashHexLength            = 64
 )
 
@@ -60,6 +61,7 @@
 	orDefault(&r.StallTimeout, tomlfile.NewDuration(defaultStallTimeout))
 	orDefault(&r.AddressValidity, tomlfile.NewDuration(defaultAddressValidity))
 	orDefault(&r.GracefulShutdown, tomlfile.NewDuration(defaultGracefulShutdown))
+	orDefault(&s.Platform.LoadsPerMinute, defaultLoadsPerMinute)
 	orDefault(&s.Log.Level, defaultLogLevel)
 	if len(r.Classes) == 0 {
 		r.Classes = []Class{{Name: "standard"}, {Name: "interactive", MaxWait: tomlfile.NewDuration(defaultInteractiveWait)}, {Name: "long", Long: true}}
@@ -96,6 +98,7 @@
 		{s.Router.Peers.IsValid(), "router", "peers", "expected the IP number and port for peers"},
 		{s.Platform.Store.IsValid(), "platform", "store", "expected the IP number and port of the key-value service"},
 		{s.Platform.Instances.IsValid(), "platform", "instances", "expected the IP number and port of the list of instances"},
+		{s.Platform.LoadsPerMinute > 0, "platform", "loadsPerMinute", "expected a rate above 0"},
 		{isHash(s.Operators.KeyHash), "operators", "keyHash", "expected the SHA-256 hash of the operators' key in 64 hexadecimal digits"},
 		{allOrNone, "peers", "certificate", "expected authority, certificate and key together"},
 		{s.Routing.LoadBound >= 1, "routing", "loadBound", "expected a multiple of 1 or more"},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/standin/fault"
 )
 
 const (
 	streamRetention = 10 * time.Second
-	restartAfter    = time.Second
 )
 
 // Outcomes in the log.
@@ -37,6 +37,15 @@
 		DecodeToken   time.Duration
 		BatchSlowdown float64
 		DefaultTokens int
+		// ChecksOrders refuses orders with an old fencing number.
+		ChecksOrders bool
+	}
+
+	// Order is an order that the engine was given, and whether it took it.
+	Order struct {
+		Fence  ident.Revision `json:"fence"`
+		Models []ident.Model  `json:"models"`
+		Taken  bool           `json:"taken"`
 	}
 
 	// Faults are switched on by POST /standin/faults.
@@ -51,7 +60,7 @@
 		// CrashOnBody crashes the engine when a request's body contains the text.
 		CrashOnBody string `json:"crashOnBody"`
 		// DropReply cuts that many streams in the middle.
-		DropReply int `json:"dropReply"`
+		DropReply fault.Times `json:"dropReply"`
 		// Hang stops every stream without closing it.
 		Hang bool `json:"hang"`
 		// Leaving refuses new requests and says so in the report.
@@ -64,27 +73,27 @@
 
 	// Entry is one request in the log.
 	Entry struct {
-		RequestID    ident.Request `json:"requestId"`
-		ChatID       ident.Chat    `json:"chatId"`
-		StartedAtMs  int64         `json:"startedAtMs"`
-		EndedAtMs    int64         `json:"endedAtMs"`
-		Outcome      Outcome       `json:"outcome"`
-		PromptTokens int           `json:"promptTokens"`
-		CachedTokens int           `json:"cachedTokens"`
-		Tokens       int           `json:"tokens"`
-		PeakRunning  int           `json:"peakRunning"`
-		Started      time.Time     `json:"-"`
-		Ended        time.Time     `json:"-"`
+		RequestID ident.Request `json:"requestId"`
+		ChatID    ident.Chat    `json:"chatId"`
+		// IdempotencyKey is always empty, since chats have none.
+		IdempotencyKey string    `json:"idempotencyKey"`
+		StartedAtMs    int64     `json:"startedAtMs"`
+		EndedAtMs      int64     `json:"endedAtMs"`
+		Outcome        Outcome   `json:"outcome"`
+		PromptTokens   int       `json:"promptTokens"`
+		CachedTokens   int       `json:"cachedTokens"`
+		Tokens         int       `json:"tokens"`
+		PeakRunning    int       `json:"peakRunning"`
+		Started        time.Time `json:"-"`
+		Ended          time.Time `json:"-"`
 	}
 
 	// Engine is the stand-in.
 	Engine struct {
-		shape   Shape
-		address string
-		mux     *http.ServeMux
+		shape Shape
+		host  *fault.Host
 
 		mu       sync.Mutex
-		server   *http.Server
 		faults   Faults
 		streams  map[ident.Request]*stream
 		waiting  []*stream
@@ -93,10 +102,10 @@
 		log      []*Entry
 		cache    *prefixCache
 		reports  []timedReport
-		crashes  int
 		leftAt   time.Time
-		closed   bool
-		restarts sync.WaitGroup
+		fence    ident.Revision
+		orders   []Order
+		onModels func([]ident.Model)
 	}
 
 	timedReport struct {
@@ -109,35 +118,33 @@
 // Start serves an engine on a listener.
 func Start(shape Shape, ln net.Listener) *Engine {
 	e := &Engine{
-		shape: shape, address: ln.Addr().String(), mux: http.NewServeMux(),
-		streams: make(map[ident.Request]*stream), cache: newPrefixCache(shape.CacheTokens),
+		shape: shape, streams: make(map[ident.Request]*stream), cache: newPrefixCache(shape.CacheTokens),
 	}
-	e.mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
-	e.mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
-	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
-	e.mux.HandleFunc("GET /load", e.serveLoad)
-	e.mux.HandleFunc("GET /standin/log", e.serveLog)
-	e.mux.HandleFunc("POST /standin/faults", e.serveFaults)
-	e.serve(ln)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("GET /standin/log", e.serveLog)
+	mux.HandleFunc("POST /standin/faults", e.serveFaults)
+	e.host = fault.NewHost(mux, ln)
 	return e
 }
 
 // Address returns the IP number and port that the engine serves on.
-func (e *Engine) Address() string { return e.address }
+func (e *Engine) Address() string { return e.host.Address() }
 
 // Shape returns what the engine was started with.
-func (e *Engine) Shape() Shape { return e.shape }
-
-// Close stops the engine for good.
-func (e *Engine) Close() {
+func (e *Engine) Shape() Shape {
 	e.mu.Lock()
-	e.closed = true
-	server := e.server
-	e.mu.Unlock()
-	_ = server.Close()
-	e.restarts.Wait()
+	defer e.mu.Unlock()
+	return e.shape
 }
 
+// Close stops the engine for good.
+func (e *Engine) Close() { e.host.Close() }
+
 // SetFaults switches faults on and off.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
@@ -145,10 +152,9 @@
 	if f.Leaving || f.AnnounceLeaving {
 		e.leftAt = time.Now()
 	}
-	life := e.crashes
 	e.mu.Unlock()
 	if f.Crash {
-		e.crash(life)
+		e.crash(e.host.Life())
 	}
 }
 
@@ -165,36 +171,47 @@
 }
 
 // Crashes returns how often the engine crashed.
-func (e *Engine) Crashes() int {
+func (e *Engine) Crashes() int { return e.host.Life() }
+
+// Orders returns the orders given so far.
+func (e *Engine) Orders() []Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.crashes
+	return append([]Order(nil), e.orders...)
 }
 
-// LeftAt returns when the engine began to leave.
-func (e *Engine) LeftAt() time.Time {
+// Models returns the models that the engine holds.
+func (e *Engine) Models() []ident.Model {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.leftAt
+	return e.shape.Models
 }
 
-func (e *Engine) serve(ln net.Listener) {
-	server := &http.Server{Handler: e.mux, ReadHeaderTimeout: time.Second}
+// OnModels has a function called with the new models after each order taken.
+func (e *Engine) OnModels(f func([]ident.Model)) {
 	e.mu.Lock()
-	e.server = server
-	e.mu.Unlock()
-	go func() { _ = server.Serve(ln) }()
+	defer e.mu.Unlock()
+	e.onModels = f
+}
+
+// LeftAt returns when the engine began to leave.
+func (e *Engine) LeftAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leftAt
 }
 
 // crash ends everything that runs, and comes back after a while with an empty cache; a life crashes once.
 func (e *Engine) crash(life int) {
 	e.mu.Lock()
-	if e.closed || life != e.crashes {
-		e.mu.Unlock()
+	away := time.Duration(e.faults.RestartMs) * time.Millisecond
+	e.faults.Crash = false
+	e.mu.Unlock()
+	if !e.host.Crash(life, away) {
 		return
 	}
-	e.crashes++
-	e.faults.Crash = false
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, s := range e.streams {
 		s.stop(Crashed)
 	}
@@ -202,32 +219,6 @@
 	e.waiting = nil
 	e.running = 0
 	e.cache = newPrefixCache(e.shape.CacheTokens)
-	server := e.server
-	after := restartAfter
-	if e.faults.RestartMs > 0 {
-		after = time.Duration(e.faults.RestartMs) * time.Millisecond
-	}
-	e.mu.Unlock()
-	_ = server.Close()
-	e.restarts.Go(func() { e.restart(after) })
-}
-
-func (e *Engine) restart(after time.Duration) {
-	const tries = 100
-	time.Sleep(after)
-	for range tries {
-		e.mu.Lock()
-		closed := e.closed
-		e.mu.Unlock()
-		if closed {
-			return
-		}
-		if ln, err := net.Listen("tcp", e.address); err == nil {
-			e.serve(ln)
-			return
-		}
-		time.Sleep(after / tries)
-	}
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -235,6 +226,7 @@
 	now := time.Now()
 	report := timedReport{at: now, running: e.running, queued: len(e.waiting), leaving: e.faults.Leaving || e.faults.AnnounceLeaving}
 	e.reports = append(e.reports, report)
+	models := e.shape.Models
 	lag := time.Duration(e.faults.ReportLagMs) * time.Millisecond
 	for _, old := range e.reports {
 		if now.Sub(old.at) >= lag {
@@ -252,7 +244,34 @@
 		Slots     int   `json:"slots"`
 		Leaving   bool  `json:"leaving"`
 		TakenAtMs int64 `json:"takenAtMs"`
-	}{report.running, report.queued, e.shape.Slots, report.leaving, report.at.UnixMilli()})
+
+		Models []ident.Model `json:"models"`
+	}{report.running, report.queued, e.shape.Slots, report.leaving, report.at.UnixMilli(), models})
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	o.Taken = !e.shape.ChecksOrders || o.Fence >= e.fence
+	e.orders = append(e.orders, o)
+	if o.Taken {
+		e.fence = max(e.fence, o.Fence)
+		e.shape.Models = o.Models
+	}
+	tell := e.onModels
+	e.mu.Unlock()
+	if !o.Taken {
+		http.Error(w, "old fence", http.StatusConflict)
+		return
+	}
+	if tell != nil {
+		tell(o.Models)
+	}
+	writeJSON(w, o)
 }
 
 func (e *Engine) serveLog(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Log()) }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -77,7 +77,7 @@
 		return
 	}
 	var p prompt
-	if err := json.Unmarshal(body, &p); err != nil || !slices.Contains(e.shape.Models, p.Model) {
+	if err := json.Unmarshal(body, &p); err != nil || !slices.Contains(e.Models(), p.Model) {
 		http.Error(w, `{"error":{"message":"unknown model or broken body"}}`, http.StatusBadRequest)
 		return
 	}
@@ -91,7 +91,7 @@
 		return
 	}
 	crash := e.faults.CrashOnBody != "" && bytes.Contains(body, []byte(e.faults.CrashOnBody))
-	life := e.crashes
+	life := e.host.Life()
 	s, known := e.streams[id]
 	if !known || id == "" {
 		s = e.begin(id, p, from, r.Header.Get("X-Priority"))
@@ -145,8 +145,7 @@
 		request: id, entry: entry, prompt: p, from: from, priority: rank, granted: make(chan struct{}),
 		outcome: Running, changed: make(chan struct{}), stopped: make(chan struct{}), released: make(chan struct{}),
 	}
-	if e.faults.DropReply > 0 {
-		e.faults.DropReply--
+	if e.faults.DropReply.Take() {
 		s.cutAt = max((p.MaxTokens-from)/2, 1)
 	}
 	e.streams[id] = s
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -41,6 +41,8 @@
 		Answered int           `json:"answered"`
 		Refused  int           `json:"refused"`
 		Broken   int           `json:"broken"`
+		// NotKept counts the outcomes that are not the stated ones.
+		NotKept int `json:"notKept"`
 		// Good counts the answers whose first token came in time.
 		Good int `json:"good"`
 		// GoodRate is good answers in a second over the trace's length.
@@ -94,7 +96,7 @@
 	results := replay.Run(ctx, replay.Generate(s.Mix), target)
 	stopEvents()
 	events.Wait()
-	row := summarise(results, s.Mix.Duration)
+	row := Summarise(results, s.Mix.Duration)
 	row.Scenario, row.Policy = s.Name, policy
 	row.judgeEngines(d.Site, results)
 	return row, nil
@@ -116,7 +118,8 @@
 	return r, r.Close, nil
 }
 
-func summarise(results []replay.Result, d time.Duration) Row {
+// Summarise judges the results of a trace of some length from the callers' ends.
+func Summarise(results []replay.Result, d time.Duration) Row {
 	const keptErrors = 5
 	row := Row{Requests: len(results), FirstToken: make(map[ident.Class]Quantiles)}
 	byClass := make(map[ident.Class]*hdrhistogram.Histogram)
@@ -130,6 +133,9 @@
 		default:
 			row.Broken++
 		}
+		if !r.Kept() {
+			row.NotKept++
+		}
 		if r.Err != nil && !r.Refused() && len(row.Errors) < keptErrors {
 			row.Errors = append(row.Errors, r.Err.Error())
 		}
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,125 @@
+package fault
+
+import (
+	"encoding/json"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	defaultRestart = time.Second
+	listenTries    = 100
+	headerTimeout  = time.Second
+)
+
+type (
+	// Times is how often a fault is still to happen; in JSON a count, or true for always and false for never.
+	Times int
+
+	// Host serves HTTP on one address, crashes, and comes back on the same address.
+	Host struct {
+		handler http.Handler
+		address string
+
+		mu       sync.Mutex
+		server   *http.Server
+		life     int
+		closed   bool
+		restarts sync.WaitGroup
+	}
+)
+
+// UnmarshalJSON reads a count or a truth value.
+func (t *Times) UnmarshalJSON(data []byte) error {
+	switch string(data) {
+	case "true":
+		*t = math.MaxInt
+	case "false":
+		*t = 0
+	default:
+		return json.Unmarshal(data, (*int)(t))
+	}
+	return nil
+}
+
+// Take counts one down, and reports whether the fault is to happen.
+func (t *Times) Take() bool {
+	if *t <= 0 {
+		return false
+	}
+	*t--
+	return true
+}
+
+// NewHost serves the handler on a listener.
+func NewHost(h http.Handler, ln net.Listener) *Host {
+	host := &Host{handler: h, address: ln.Addr().String()}
+	host.serve(ln)
+	return host
+}
+
+// Address returns the IP number and port that the host serves on.
+func (h *Host) Address() string { return h.address }
+
+// Life returns how often the host has crashed.
+func (h *Host) Life() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life
+}
+
+// Crash closes every connection and stays away for a while, one second where it is 0; a life crashes once.
+func (h *Host) Crash(life int, away time.Duration) bool {
+	h.mu.Lock()
+	if h.closed || life != h.life {
+		h.mu.Unlock()
+		return false
+	}
+	h.life++
+	server := h.server
+	h.mu.Unlock()
+	_ = server.Close()
+	if away <= 0 {
+		away = defaultRestart
+	}
+	h.restarts.Go(func() { h.restart(away) })
+	return true
+}
+
+// Close stops the host for good.
+func (h *Host) Close() {
+	h.mu.Lock()
+	h.closed = true
+	server := h.server
+	h.mu.Unlock()
+	_ = server.Close()
+	h.restarts.Wait()
+}
+
+func (h *Host) serve(ln net.Listener) {
+	server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout}
+	h.mu.Lock()
+	h.server = server
+	h.mu.Unlock()
+	go func() { _ = server.Serve(ln) }()
+}
+
+func (h *Host) restart(away time.Duration) {
+	time.Sleep(away)
+	for range listenTries {
+		h.mu.Lock()
+		closed := h.closed
+		h.mu.Unlock()
+		if closed {
+			return
+		}
+		if ln, err := net.Listen("tcp", h.address); err == nil {
+			h.serve(ln)
+			return
+		}
+		time.Sleep(away / listenTries)
+	}
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/standin/fault"
 )
 
 const maxBody = 1 << 20
@@ -21,7 +23,14 @@
 		SlowFactor float64 `json:"slowFactor"`
 		DelayMs    int     `json:"delayMs"`
 		// DropReply runs that many calls without answering them.
-		DropReply int `json:"dropReply"`
+		DropReply fault.Times `json:"dropReply"`
+		// Crash closes every connection and stays away for RestartMs.
+		Crash     bool `json:"crash"`
+		RestartMs int  `json:"restartMs"`
+		// CrashOnBody crashes the service when a call's body contains the text.
+		CrashOnBody string `json:"crashOnBody"`
+		// ReportLagMs is taken for the sake of one fault interface; a service reports nothing.
+		ReportLagMs int `json:"reportLagMs"`
 		// Leaving refuses new calls without running them.
 		Leaving bool `json:"leaving"`
 	}
@@ -29,6 +38,7 @@
 	// Entry is one call in the log.
 	Entry struct {
 		RequestID      ident.Request `json:"requestId"`
+		ChatID         ident.Chat    `json:"chatId"`
 		IdempotencyKey string        `json:"idempotencyKey"`
 		Path           string        `json:"path"`
 		StartedAtMs    int64         `json:"startedAtMs"`
@@ -39,10 +49,9 @@
 
 	// Service is the stand-in.
 	Service struct {
-		id     ident.Engine
-		ln     net.Listener
-		server *http.Server
-		took   time.Duration
+		id   ident.Engine
+		host *fault.Host
+		took time.Duration
 
 		mu      sync.Mutex
 		faults  Faults
@@ -54,28 +63,30 @@
 
 // Start serves a service on a listener; took is how long a call takes.
 func Start(id ident.Engine, took time.Duration, ln net.Listener) *Service {
-	s := &Service{id: id, ln: ln, took: took}
+	s := &Service{id: id, took: took}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /bookings", s.serveBooking)
 	mux.HandleFunc("GET /catalogue", s.serveCatalogue)
 	mux.HandleFunc("GET /standin/log", s.serveLog)
 	mux.HandleFunc("POST /standin/faults", s.serveFaults)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = s.server.Serve(ln) }()
+	s.host = fault.NewHost(mux, ln)
 	return s
 }
 
 // Address returns the IP number and port that the service serves on.
-func (s *Service) Address() string { return s.ln.Addr().String() }
+func (s *Service) Address() string { return s.host.Address() }
 
 // Close stops the service.
-func (s *Service) Close() { _ = s.server.Close() }
+func (s *Service) Close() { s.host.Close() }
 
 // SetFaults switches faults on and off.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.faults = f
+	s.mu.Unlock()
+	if f.Crash {
+		s.host.Crash(s.host.Life(), time.Duration(f.RestartMs)*time.Millisecond)
+	}
 }
 
 // Log returns a copy of the log.
@@ -96,6 +107,9 @@
 	if err != nil {
 		return
 	}
+	if s.crashes(body) {
+		panic(http.ErrAbortHandler)
+	}
 	s.run(w, r, func(n int) any {
 		return struct {
 			Booking string          `json:"booking"`
@@ -104,6 +118,18 @@
 	})
 }
 
+// crashes reports whether the body crashed the service, before the call ran.
+func (s *Service) crashes(body []byte) bool {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.CrashOnBody == "" || !bytes.Contains(body, []byte(f.CrashOnBody)) {
+		return false
+	}
+	s.host.Crash(s.host.Life(), time.Duration(f.RestartMs)*time.Millisecond)
+	return true
+}
+
 func (s *Service) serveCatalogue(w http.ResponseWriter, r *http.Request) {
 	s.run(w, r, func(int) any {
 		return struct {
@@ -132,10 +158,7 @@
 	if s.faults.SlowFactor > 0 {
 		took = time.Duration(float64(took) * s.faults.SlowFactor)
 	}
-	drop := s.faults.DropReply > 0
-	if drop {
-		s.faults.DropReply--
-	}
+	drop := s.faults.DropReply.Take()
 	s.mu.Unlock()
 	time.Sleep(took)
 	s.mu.Lock()
--- a/standin/site/describe.go
+++ b/standin/site/describe.go
@@ -1,8 +1,11 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -12,6 +15,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/settings"
 	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/standin/service"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
@@ -74,6 +78,55 @@
 	return errors.Wrap(os.WriteFile(name, append(body, '\n'), fileMode), "write description")
 }
 
+// ReadDescription reads what WriteFile wrote.
+func ReadDescription(name string) (Description, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Description{}, errors.Wrap(err, "read description")
+	}
+	var d Description
+	if err := json.Unmarshal(data, &d); err != nil {
+		return Description{}, errors.Wrap(err, "decode description")
+	}
+	if len(d.Routers) == 0 || len(d.Engines) == 0 {
+		return Description{}, errors.New("description names no router or no engine")
+	}
+	return d, nil
+}
+
+// Doubled reads the services' logs and returns the keys whose call ran more than once.
+func (d Description) Doubled(ctx context.Context) ([]string, error) {
+	runs := make(map[string]int)
+	for _, s := range d.Services {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Address+"/standin/log", nil)
+		if err != nil {
+			return nil, errors.Wrap(err, "build request")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, errors.Wrap(err, "read log")
+		}
+		var log []service.Entry
+		err = json.NewDecoder(resp.Body).Decode(&log)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, "decode log")
+		}
+		for _, e := range log {
+			if e.IdempotencyKey != "" {
+				runs[e.IdempotencyKey]++
+			}
+		}
+	}
+	var doubled []string
+	for key, n := range runs {
+		if n > 1 {
+			doubled = append(doubled, fmt.Sprintf("%s ran %d times", key, n))
+		}
+	}
+	return doubled, nil
+}
+
 // Settings returns the settings of a router of this site, on the given addresses.
 func (s *Site) Settings(id ident.Router, domain ident.Domain, callers, peers string, operatorKey string) (settings.Settings, error) {
 	var v settings.Settings
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -114,12 +114,13 @@
 	shape.ID = ident.Engine(id)
 	shape.Models = []ident.Model{s.Plan.Model}
 	e := engine.Start(shape, ln)
+	e.OnModels(func(models []ident.Model) { s.setModels(id, models) })
 	s.mu.Lock()
 	s.Engines = append(s.Engines, e)
 	s.mu.Unlock()
 	s.AddInstance(fleet.Instance{
 		ID: id, Role: fleet.RoleEngine, Address: ln.Addr().String(), FailureDomain: domain,
-		State: fleet.StateLive, Models: shape.Models, Slots: shape.Slots,
+		State: fleet.StateLive, Models: shape.Models, Slots: shape.Slots, ChecksOrders: shape.ChecksOrders,
 	})
 	return e, nil
 }
@@ -140,6 +141,18 @@
 	s.publish()
 }
 
+// setModels lists what an engine holds after an order.
+func (s *Site) setModels(id string, models []ident.Model) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.instances {
+		if s.instances[i].ID == id {
+			s.instances[i].Models = models
+		}
+	}
+	s.publish()
+}
+
 // SetLag makes the list show what was true some time ago.
 func (s *Site) SetLag(lag time.Duration) {
 	s.mu.Lock()
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -144,6 +144,18 @@
 	return p, ok
 }
 
+// Models returns the models that any allowance names, by name.
+func (s *State) Models() []ident.Model {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var all []ident.Model
+	for _, a := range s.allowances {
+		all = append(all, a.Models...)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Entries returns every entry that is not deleted, by key.
 func (s *State) Entries() []wire.Entry {
 	s.mu.RLock()
--- a/version/fleet/fleet.go
+++ b/version/fleet/fleet.go
@@ -301,6 +301,6 @@
 
 func sameInstance(a, b Instance) bool {
 	return a.ID == b.ID && a.Role == b.Role && a.Address == b.Address && a.PeerAddress == b.PeerAddress &&
-		a.FailureDomain == b.FailureDomain && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots &&
+		a.FailureDomain == b.FailureDomain && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots && a.Room == b.Room && a.ChecksOrders == b.ChecksOrders &&
 		slices.Equal(a.Models, b.Models)
 }
--- a/version/fleet/view.go
+++ b/version/fleet/view.go
@@ -36,6 +36,10 @@
 		Models        []ident.Model `json:"models,omitempty"`
 		Service       ident.Service `json:"service,omitempty"`
 		Slots         int           `json:"slots,omitempty"`
+		// Room is how many models an engine can hold; 0 is one.
+		Room int `json:"room,omitempty"`
+		// ChecksOrders says that the engine refuses orders with an old fencing number.
+		ChecksOrders bool `json:"checksOrders,omitempty"`
 	}
 
 	// View is an immutable picture of the fleet.
