fix: a long answer is not cut by a fault late in its middle

Cause: found by reading: the time to wait for an engine counted from a request's arrival, so a note that had run longer than its class may wait was given up at the first loss; answers in progress shared the retry budget; a home that stopped told its entries 'cancelled' and stopped the streams at the engines too. Change: waiting counts from the loss, 30 s at least for an answer in progress, without the retry budget; a home that stops lets its entries ask the next home and leaves the streams at the engines.

--- a/process/home/admission.go
+++ b/process/home/admission.go
@@ -31,7 +31,7 @@
 	class := e.set.policy.Class(r.Submit.Class)
 	limit := class.MaxWait.Std() - r.Submit.Waited
 	wait := e.expectedWait(class.Long)
-	if wait > limit {
+	if wait > limit && r.Submit.From == 0 {
 		return e.overloaded(wait - limit)
 	}
 	if patient {
--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -31,7 +31,7 @@
 	e.set.point("lastToken", r.Submit.Request)
 	now := time.Now()
 	end := e.classify(r, err, now)
-	if err != nil && mayStillRun(err) {
+	if err != nil && mayStillRun(err) && e.set.ctx.Err() == nil {
 		e.stop(r)
 	}
 	e.finish(r, end, time.Now())
@@ -147,6 +147,10 @@
 	var status *engine.StatusError
 	var lost *lostError
 	switch {
+	case e.set.ctx.Err() != nil:
+		refusal := failed("the home of engine %s has stopped", string(e.id))
+		refusal.Code = wire.CodeNotHome
+		return wire.End{Refusal: refusal}
 	case errors.As(err, &lost):
 		return e.crashed(r, now)
 	case errors.As(err, &dial):
--- a/process/router/policy_test.go
+++ b/process/router/policy_test.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/router"
 	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
 	"github.com/vanillaroute/vanillaroute/standin/certificates"
 	"github.com/vanillaroute/vanillaroute/standin/check"
 	"github.com/vanillaroute/vanillaroute/standin/embedded"
@@ -227,6 +228,53 @@
 	}
 }
 
+// TestLongAnswerSurvivesLateFaults has answers that run much longer than their class may wait lose their engine, or
+// the router that is its home, late in the middle.
+func TestLongAnswerSurvivesLateFaults(t *testing.T) {
+	const (
+		tokens = 1500
+		chats  = 48
+	)
+	tests := []struct {
+		name  string
+		fault func(d *embedded.Deployment)
+	}{
+		{"engines crash", func(d *embedded.Deployment) {
+			for _, e := range d.Site.Engines[:5] {
+				e.SetFaults(engine.Faults{Crash: true, RestartMs: 300})
+			}
+		}},
+		{"router dies", func(d *embedded.Deployment) { d.Nodes()[1].Kill() }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := deploy(t, embedded.Options{Change: func(s *settings.Settings) {
+				quick(s)
+				s.Routing.Classes = []settings.Class{{Name: "note", Long: true, MaxWait: tomlfile.NewDuration(500 * time.Millisecond)}}
+				s.Routing.GracefulShutdown = tomlfile.NewDuration(500 * time.Millisecond)
+			}})
+			ctx := testContext(t)
+			time.AfterFunc(1200*time.Millisecond, func() { tt.fault(d) })
+			var group sync.WaitGroup
+			for i := range chats {
+				c := newCaller(t, d)
+				group.Go(func() {
+					s, err := c.Stream(ctx, caller.Chat{Model: d.Site.Plan.Model, Chat: ident.Chat(fmt.Sprint("note-", i)), Messages: question(i), MaxTokens: tokens})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					text, err := s.ReadAll()
+					if err != nil || text != check.Answer(question(i), tokens) {
+						t.Errorf("note %d: %d bytes, %v", i, len(text), err)
+					}
+				})
+			}
+			group.Wait()
+		})
+	}
+}
+
 // startStranger runs a router without a certificate that is listed like the others.
 func startStranger(t *testing.T, d *embedded.Deployment) *router.Router {
 	t.Helper()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -22,10 +22,10 @@
 	// MaxCandidates is how many engines of a model one request may try.
 	MaxCandidates = 8
 
-	maxFailures  = 3
-	shortPause   = 20 * time.Millisecond
-	longPause    = 200 * time.Millisecond
-	fallbackStat = http.StatusServiceUnavailable
+	maxFailures = 3
+	shortPause  = 20 * time.Millisecond
+	longPause   = 200 * time.Millisecond
+	resumeWait  = 30 * time.Second
 )
 
 type (
@@ -64,8 +64,9 @@
 		spill       ident.Engine
 		failures    int
 		handed      bool
-		started     time.Time
-		deadline    time.Time
+		// waiting is since when the request has waited for an engine: from its arrival, or from the loss of the last one.
+		waiting  time.Time
+		deadline time.Time
 	}
 
 	// step says what to do after an attempt.
@@ -80,8 +81,8 @@
 
 // Run carries a request to its end; the answer's last refusal is in the End, and a caller that left is an error.
 func (r *Relay) Run(ctx context.Context, submit wire.Submit, sink Sink, now time.Time) (wire.End, error) {
-	c := &chat{Relay: r, submit: submit, sink: sink, passed: submit.From, received: submit.Received, started: now}
-	c.deadline = now.Add(r.Policy.Class(submit.Class).MaxWait.Std())
+	c := &chat{Relay: r, submit: submit, sink: sink, passed: submit.From, received: submit.Received}
+	c.waitFrom(now)
 	c.key = PickKey(submit)
 	c.fingerprint = suspects.Fingerprint(submit.Organisation, submit.Body)
 	c.submit.Crashed = r.Suspects.Engines(c.fingerprint)
@@ -154,7 +155,7 @@
 		return refused(http.StatusNotFound, wire.CodeUnknownModel, "no engine holds the model"), false
 	}
 	if !now.Before(c.deadline) {
-		return c.truthful(refused(fallbackStat, wire.CodeNoEngine, "no engine took the request in time")), false
+		return c.truthful(refused(http.StatusServiceUnavailable, wire.CodeNoEngine, "no engine took the request in time")), false
 	}
 	if !c.submit.LastChoice {
 		c.submit.LastChoice = true
@@ -173,7 +174,10 @@
 	home := c.View().HomeOf(engine)
 	c.submit.Engine = engine
 	c.submit.From = c.passed
-	c.submit.Waited = time.Since(c.started)
+	c.submit.Waited = time.Since(c.waiting)
+	if c.passed > 0 {
+		c.submit.Waited = 0
+	}
 	if len(c.kept) > 0 {
 		c.submit.Received = c.received + textOf(c.kept)
 	}
@@ -224,9 +228,20 @@
 		c.kept = append(c.kept, data)
 		c.passed++
 	}
+	c.waitFrom(time.Now())
 	return nil
 }
 
+// waitFrom starts the time within which an engine must take the request; an answer in progress may wait for longer.
+func (c *chat) waitFrom(now time.Time) {
+	limit := c.Policy.Class(c.submit.Class).MaxWait.Std()
+	if c.passed > 0 {
+		limit = max(limit, resumeWait)
+	}
+	c.waiting = now
+	c.deadline = now.Add(limit)
+}
+
 // lost follows the loss of a home: the same engine is asked through the router that is its home next.
 func (c *chat) lost(ctx context.Context, home ident.Router, err error) (wire.End, step, error) {
 	var unreachable *peer.UnreachableError
@@ -234,11 +249,8 @@
 		c.handed = true
 	}
 	c.Lost(home)
-	if time.Now().After(c.deadline) && c.passed == 0 {
-		return c.truthful(refused(fallbackStat, wire.CodePeerUnreachable, "the engine's home cannot be reached")), stepEnd, nil
-	}
-	if c.passed > 0 && time.Since(c.started) > c.Policy.GracefulShutdown.Std() {
-		return failure("the answer could not be resumed"), stepEnd, nil
+	if time.Now().After(c.deadline) {
+		return c.truthful(refused(http.StatusServiceUnavailable, wire.CodePeerUnreachable, "the engine's home cannot be reached")), stepEnd, nil
 	}
 	pause.For(ctx, shortPause)
 	return wire.End{}, stepSame, ctx.Err()
@@ -252,7 +264,8 @@
 	}
 	switch refusal.Code {
 	case wire.CodeNotHome:
-		if time.Now().After(c.deadline) && c.passed == 0 {
+		c.handed = c.handed || refusal.Outcome == wire.Failed
+		if time.Now().After(c.deadline) {
 			return end, stepEnd, nil
 		}
 		pause.For(ctx, shortPause)
@@ -261,6 +274,11 @@
 		return end, c.overBound(refusal), nil
 	case wire.CodeLeaving, wire.CodeNoEngine:
 		return end, c.skip(engine), nil
+	case wire.CodeOverloaded:
+		if c.passed == 0 {
+			return end, stepEnd, nil
+		}
+		return end, c.skip(engine), nil
 	case wire.CodeSuspect:
 		return c.suspect(refusal, end)
 	case wire.CodeEngine:
@@ -308,12 +326,12 @@
 	return end, stepSame, nil
 }
 
-// engineFailed tries another engine within the retry budget.
+// engineFailed tries another engine; a request without an answer yet does so within the retry budget.
 func (c *chat) engineFailed(engine ident.Engine, refusal *wire.Refusal, end wire.End) (wire.End, step, error) {
 	c.handed = true
 	c.failures++
 	c.noteCrashes(refusal.Crashed)
-	if c.failures > maxFailures || !c.Retries.Take() {
+	if c.failures > maxFailures || (c.passed == 0 && !c.Retries.Take()) {
 		return end, stepEnd, nil
 	}
 	if len(refusal.Crashed) > 0 {
@@ -369,9 +387,3 @@
 	end.Refusal.Outcome = wire.Failed
 	return end
 }
-
-func failure(message string) wire.End {
-	end := refused(http.StatusBadGateway, wire.CodeEngine, message)
-	end.Refusal.Outcome = wire.Failed
-	return end
-}
