fix: loads travel with requests and answers, so that the bound is decided on sums of a moment ago

Change: a request between two routers carries its sender's load of the model, its end the home's, as often as the control budget allows; a router's refusals are noted at once. Ruled out: the lowest of a second's reports (a swing would be followed a second late), and a smaller inner bound (it would cost cache reuse). Conclusion: rarer, not proved away; the check keeps its bound.

--- a/connection/wire/message.go
+++ b/connection/wire/message.go
@@ -38,7 +38,6 @@
 	CodeNotHome         Code = "not_home"
 	CodeOverBound       Code = "over_bound"
 	CodeLeaving         Code = "leaving"
-	CodeStreamNotFound  Code = "stream_not_found"
 	CodePeerUnreachable Code = "peer_unreachable"
 	CodeNotReady        Code = "not_ready"
 )
@@ -91,8 +90,6 @@
 		From int
 		// Received is the text that the caller already has, for continuing on another engine.
 		Received string
-		// Attached asks only to resume a run that this home still holds.
-		Attached bool
 		// SpillTried says that the engine which the chat spilled to was asked already.
 		SpillTried bool
 		// LastChoice asks the home to queue the request where it would redirect it.
@@ -116,6 +113,8 @@
 		Status  int
 		Total   int
 		Refusal *Refusal
+		// Loads are the home's own loads, so that entries and homes decide on fresh sums.
+		Loads []RouterSum
 	}
 
 	// Ack tells how many events the receiver has passed on.
--- a/process/home/set.go
+++ b/process/home/set.go
@@ -79,16 +79,11 @@
 		r.Attach()
 		return r, nil
 	}
-	if submit.Attached {
-		return nil, wire.Refuse(http.StatusNotFound, wire.CodeStreamNotFound, "this router does not hold the stream")
-	}
 	e, refusal := s.home(submit.Engine)
 	if refusal != nil {
 		return nil, refusal
 	}
-	for _, l := range submit.Loads {
-		s.sums.Update(l.Router, []wire.ModelSum{l.Sum}, now)
-	}
+	s.NoteLoads(submit.Loads, now)
 	fingerprint := suspects.Fingerprint(submit.Organisation, submit.Body)
 	for _, c := range submit.Crashed {
 		s.suspects.Crashed(fingerprint, c, now)
@@ -97,12 +92,26 @@
 	r.Attach()
 	if refusal := e.admit(r, now); refusal != nil {
 		r.Cancel()
-		refusal.Load = append(slices.Clone(submit.Loads), wire.RouterSum{Router: s.self, Sum: s.ownSum(submit.Model)})
+		refusal.Load = append(slices.Clone(submit.Loads), s.Load(submit.Model))
 		return nil, refusal
 	}
 	return r, nil
 }
 
+// NoteLoads takes the loads of other routers that came with a request or its answer.
+func (s *Set) NoteLoads(loads []wire.RouterSum, now time.Time) {
+	for _, l := range loads {
+		if l.Router != s.self {
+			s.sums.Update(l.Router, []wire.ModelSum{l.Sum}, now)
+		}
+	}
+}
+
+// Load returns this router's own load of a model, as it travels with requests and answers.
+func (s *Set) Load(m ident.Model) wire.RouterSum {
+	return wire.RouterSum{Router: s.self, Sum: s.ownSum(m)}
+}
+
 // Spilled remembers where a chat went that an engine of this home refused.
 func (s *Set) Spilled(from, to ident.Engine, chat ident.Chat) {
 	s.mu.Lock()
--- a/process/router/peers.go
+++ b/process/router/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/peer"
@@ -25,6 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
+	submit.Loads = append(slices.Clone(submit.Loads), r.loadsOf(submit.Model)...)
 	s, err := conn.Open(ctx, wire.KindSubmit, wire.Encode(submit))
 	if err != nil {
 		return nil, err
@@ -56,7 +58,16 @@
 		_ = s.Send(ctx, wire.KindEnd, wire.Encode(wire.End{Refusal: refusal}))
 		return
 	}
-	relay.Serve(ctx, s, run, submit.From)
+	relay.Serve(ctx, s, run, submit.From, func() []wire.RouterSum { return r.loadsOf(submit.Model) })
+}
+
+// loadsOf returns this router's load of a model to go with a message, as often as the control budget allows.
+func (r *Router) loadsOf(m ident.Model) []wire.RouterSum {
+	load := r.homes.Load(m)
+	if !r.budget.Spend(budget.Sums, loadBytes+len(load.Router)+len(m), time.Now()) {
+		return nil
+	}
+	return []wire.RouterSum{load}
 }
 
 func (r *Router) serveCall(ctx context.Context, s *peer.Stream, body []byte) {
--- a/process/router/periods.go
+++ b/process/router/periods.go
@@ -24,5 +24,7 @@
 	publishPeers     = 2
 	ledgerHomes      = 6
 	callDeadline     = 35 * time.Second
-	serviceTries     = 3
+	// loadBytes is the encoded size of a load without its names.
+	loadBytes    = 16
+	serviceTries = 3
 )
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/connection/service"
 	"github.com/vanillaroute/vanillaroute/connection/store"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/home"
@@ -127,7 +128,8 @@
 	r.shares = limits.NewShares(r.self, r.askShare, func() int { return len(r.fleet.View().Placed()) })
 	r.relay = &relay.Relay{
 		Policy: r.settings.Routing, View: r.fleet.View, Open: r.open, Lost: r.suspectSoon, Spilled: r.spilled, Point: point, Suspects: r.suspects,
-		Hedges: relay.NewHedges(r.settings.Routing.HedgeShare), Retries: relay.NewRetries(),
+		NoteLoads: func(loads []wire.RouterSum) { r.homes.NoteLoads(loads, time.Now()) },
+		Hedges:    relay.NewHedges(r.settings.Routing.HedgeShare), Retries: relay.NewRetries(),
 	}
 }
 
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -37,15 +37,17 @@
 
 	// Relay is what all chats of a router share.
 	Relay struct {
-		Policy   settings.Routing
-		View     func() *fleet.View
-		Open     Open
-		Lost     func(ident.Router)
-		Spilled  func(home ident.Router, note wire.SpillNote)
-		Point    func(step string, id ident.Request)
-		Suspects *suspects.Table
-		Hedges   *Hedges
-		Retries  *Budget
+		Policy  settings.Routing
+		View    func() *fleet.View
+		Open    Open
+		Lost    func(ident.Router)
+		Spilled func(home ident.Router, note wire.SpillNote)
+		Point   func(step string, id ident.Request)
+		// NoteLoads takes the loads that come with answers and refusals.
+		NoteLoads func([]wire.RouterSum)
+		Suspects  *suspects.Table
+		Hedges    *Hedges
+		Retries   *Budget
 	}
 
 	// chat is one request on its way.
@@ -211,7 +213,9 @@
 	if err != nil {
 		return c.lost(ctx, home, err)
 	}
+	c.NoteLoads(end.Loads)
 	if end.Refusal != nil {
+		c.NoteLoads(end.Refusal.Load)
 		return c.refused(ctx, engine, end.Refusal)
 	}
 	c.noteSpill(engine)
--- a/request/relay/source.go
+++ b/request/relay/source.go
@@ -103,8 +103,8 @@
 
 func (refusedSource) Close(bool) {}
 
-// Serve sends a run to the entry router that asked for it, within the window, until either side ends.
-func Serve(ctx context.Context, s *peer.Stream, r *run.Run, from int) {
+// Serve sends a run to the entry router that asked for it, within the window, until either side ends; loads go with the end.
+func Serve(ctx context.Context, s *peer.Stream, r *run.Run, from int, loads func() []wire.RouterSum) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	acks := make(chan int, 1)
@@ -131,7 +131,9 @@
 			return
 		}
 		if end != nil {
-			_ = s.Send(ctx, wire.KindEnd, wire.Encode(*end))
+			told := *end
+			told.Loads = loads()
+			_ = s.Send(ctx, wire.KindEnd, wire.Encode(told))
 			return
 		}
 		if s.Send(ctx, wire.KindEvents, wire.Encode(wire.Events{First: sent, Items: events})) != nil {
