--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -10,13 +10,8 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 )
 
-const (
-	// Freshness is how long a router's report of its load counts.
-	Freshness = 3 * time.Second
-
-	// lowWindow is within what time the lowest report of another router counts.
-	lowWindow = 250 * time.Millisecond
-)
+// Freshness is how long a router's report of its load counts.
+const Freshness = 3 * time.Second
 
 type (
 	// Table holds the last report of each router for each model.
@@ -36,14 +31,10 @@
 
 	report struct {
 		sum wire.ModelSum
+		// low is the lower of the last two counts of running requests: a sum of peaks of different moments would be above
+		// any moment's total.
+		low int
 		at  time.Time
-		// recent are the counts of running requests within lowWindow, the last one in any case.
-		recent []count
-	}
-
-	count struct {
-		running int
-		at      time.Time
 	}
 )
 
@@ -62,8 +53,11 @@
 			byRouter = make(map[ident.Router]report)
 			t.reports[s.Model] = byRouter
 		}
-		recent := slices.DeleteFunc(byRouter[from].recent, func(c count) bool { return now.Sub(c.at) > lowWindow })
-		byRouter[from] = report{sum: s, at: now, recent: append(recent, count{s.Running, now})}
+		low := s.Running
+		if old, ok := byRouter[from]; ok {
+			low = min(low, old.sum.Running)
+		}
+		byRouter[from] = report{sum: s, low: low, at: now}
 	}
 }
 
@@ -84,7 +78,7 @@
 		if from == self {
 			continue
 		}
-		total.Running += r.low()
+		total.Running += r.low
 		total.Waiting += r.sum.Waiting
 		total.Engines += r.sum.Engines
 		if r.sum.GapMicros > 0 {
@@ -98,15 +92,6 @@
 	return total
 }
 
-// low returns the lowest count of lately: a sum of peaks of different moments would be above any moment's total.
-func (r report) low() int {
-	lowest := r.sum.Running
-	for _, c := range r.recent {
-		lowest = min(lowest, c.running)
-	}
-	return lowest
-}
-
 // RunBound returns how many requests an engine may run when one more is to start; a mean under one counts as one.
 func (t Total) RunBound(loadBound, weight float64) int {
 	return t.bound(t.Running+1, loadBound, weight)
