refactor: one reader of the text in a stream's event

Cause: caller, replay and relay each decoded the same fields of an event. Change: engine.Content serves all three; behaviour and errors stay as they were. Conclusion: three copies fewer by two.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 )
@@ -201,19 +202,9 @@
 	if event.Offset != s.next {
 		return Event{}, &OrderError{Got: event, Want: s.next}
 	}
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-		} `json:"choices"`
-	}
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return Event{}, errors.Wrap(err, "decode event")
-	}
-	text := ""
-	if len(chunk.Choices) > 0 {
-		text = chunk.Choices[0].Delta.Content
+	text, err := engine.Content(data)
+	if err != nil {
+		return Event{}, err
 	}
 	s.next++
 	s.last = id
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -177,7 +177,9 @@
 		if events++; events == 1 {
 			first()
 		}
-		text.WriteString(contentOf(data))
+		if content, err := engine.Content([]byte(data)); err == nil {
+			text.WriteString(content)
+		}
 	}
 	return whole(text.String(), messages, q.MaxTokens)
 }
@@ -229,17 +231,3 @@
 	b.engines, b.desks, b.loads = engines, desks, loads
 	return nil
 }
-
-func contentOf(data string) string {
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-		} `json:"choices"`
-	}
-	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
-		return ""
-	}
-	return chunk.Choices[0].Delta.Content
-}
