refactor: one count of repeated executions for tests and replay

Cause: the replay command counted executions of each key by a copy of the check's loop. Change: check.DoubledIn serves both; behaviour stays. Conclusion: a copy fewer.

--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -33,21 +33,32 @@
 
 // Executions counts how often each key's call ran at any instance.
 func Executions(desks []*service.Service) map[string]int {
-	runs := make(map[string]int)
+	var log []service.Entry
 	for _, d := range desks {
-		for _, e := range d.Log() {
-			if e.IdempotencyKey != "" {
-				runs[e.IdempotencyKey]++
-			}
+		log = append(log, d.Log()...)
+	}
+	return executions(log)
+}
+
+// Doubled returns the keys whose call ran more than once.
+func Doubled(desks []*service.Service) []string { return repeated(Executions(desks)) }
+
+// DoubledIn returns the keys whose call ran more than once by the logs of all instances together.
+func DoubledIn(log []service.Entry) []string { return repeated(executions(log)) }
+
+func executions(log []service.Entry) map[string]int {
+	runs := make(map[string]int)
+	for _, e := range log {
+		if e.IdempotencyKey != "" {
+			runs[e.IdempotencyKey]++
 		}
 	}
 	return runs
 }
 
-// Doubled returns the keys whose call ran more than once.
-func Doubled(desks []*service.Service) []string {
+func repeated(runs map[string]int) []string {
 	var keys []string
-	for k, n := range Executions(desks) {
+	for k, n := range runs {
 		if n > 1 {
 			keys = append(keys, fmt.Sprintf("%s ran %d times", k, n))
 		}
--- a/standin/site/describe.go
+++ b/standin/site/describe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/settings"
 	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/standin/check"
 	"github.com/vanillaroute/vanillaroute/standin/service"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
@@ -96,7 +96,7 @@
 
 // Doubled reads the services' logs and returns the keys whose call ran more than once.
 func (d Description) Doubled(ctx context.Context) ([]string, error) {
-	runs := make(map[string]int)
+	var all []service.Entry
 	for _, s := range d.Services {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Address+"/standin/log", nil)
 		if err != nil {
@@ -112,19 +112,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "decode log")
 		}
-		for _, e := range log {
-			if e.IdempotencyKey != "" {
-				runs[e.IdempotencyKey]++
-			}
-		}
-	}
-	var doubled []string
-	for key, n := range runs {
-		if n > 1 {
-			doubled = append(doubled, fmt.Sprintf("%s ran %d times", key, n))
-		}
+		all = append(all, log...)
 	}
-	return doubled, nil
+	return check.DoubledIn(all), nil
 }
 
 // Settings returns the settings of a router of this site, on the given addresses.
