--- a/cmd/root.go
+++ b/cmd/root.go
@@ -6,15 +6,27 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
 
-type rootCmd struct {
-	cmd  *cobra.Command
-	exit func(int)
-}
+type (
+	rootCmd struct {
+		cmd  *cobra.Command
+		exit func(int)
+	}
+
+	// settingsError says that a process cannot start with its settings.
+	settingsError struct{ cause error }
+)
+
+// Error names the cause.
+func (e *settingsError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *settingsError) Unwrap() error { return e.cause }
 
-// Execute runs the command line and ends through exit with 0, or with 1 after an error.
+// Execute runs the command line and ends through exit with 0, with 2 where the settings are wrong, or with 1 after another error.
 func Execute(exit func(int), args []string) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -32,6 +44,7 @@
 	}
 	root.cmd.AddCommand(
 		newServeCmd().cmd,
+		newEntryCmd().cmd,
 		newCheckCmd().cmd,
 		newListCmd(planList).cmd,
 		newListCmd(allowanceList).cmd,
@@ -52,6 +65,11 @@
 	r.cmd.SetArgs(args)
 	if err := r.cmd.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(r.cmd.ErrOrStderr(), "error:", err)
+		var settings *settingsError
+		if errors.As(err, &settings) {
+			r.exit(2)
+			return
+		}
 		r.exit(1)
 		return
 	}
--- /dev/null
+++ b/connection/beat/beat.go
@@ -0,0 +1,191 @@
+package beat
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// MaxDatagram fits into one packet of a usual link.
+	MaxDatagram = 1300
+	// Unproven is the age of a replica that nobody has proven current.
+	Unproven = time.Duration(-1)
+
+	fetchTimeout = 800 * time.Millisecond
+)
+
+type (
+	// Beat is one heartbeat: who sends it, what it knows, and what it has.
+	Beat struct {
+		// Ask is when the sender sent it, by its own clock, where it wants an answer.
+		Ask boottime.Instant
+		// Answer is the Ask of the beat that this one answers.
+		Answer      boottime.Instant
+		Peer        string
+		Callers     string
+		Domain      ident.Domain
+		State       members.State
+		Incarnation ident.Incarnation
+		// StoreLost says that the sender cannot read the platform's store.
+		StoreLost bool
+		// Revision is that of the sender's replica, and ProofAge how long ago it was known to be current.
+		Revision ident.Revision
+		ProofAge time.Duration
+		// Changes bring the receiver's replica to Revision where they fit.
+		Changes []mirror.Entry
+		Changed bool
+		Loads   map[placing.Key]int
+		Holders []Holder
+		Rumours []members.Rumour
+	}
+
+	// Holder is an engine that has read a chain, with the time since.
+	Holder struct {
+		Chain  placing.Chain
+		Engine placing.Key
+		Age    time.Duration
+	}
+
+	// Fetched is a replica's lag with the age of its proof.
+	Fetched struct {
+		Delta    mirror.Delta
+		ProofAge time.Duration
+	}
+
+	// Conn sends and receives beats.
+	Conn struct {
+		udp *net.UDPConn
+		tcp *net.TCPListener
+	}
+)
+
+// Listen takes the address for datagrams and connections.
+func Listen(address string) (*Conn, error) {
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	udp, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for heartbeats")
+	}
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: at.IP, Port: at.Port})
+	if err != nil {
+		_ = udp.Close()
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return &Conn{udp: udp, tcp: tcp}, nil
+}
+
+// Close ends both listeners.
+func (c *Conn) Close() {
+	_ = c.udp.Close()
+	_ = c.tcp.Close()
+}
+
+// Send sends one beat, shortened where it is too long for a datagram.
+func (c *Conn) Send(to string, b Beat) error {
+	body := wire.Encode(b)
+	if len(body) > MaxDatagram {
+		b.Changes, b.Changed = nil, false
+		body = wire.Encode(b)
+	}
+	for len(body) > MaxDatagram && len(b.Holders)+len(b.Rumours)+len(b.Loads) > 0 {
+		b.Holders = b.Holders[:len(b.Holders)/2]
+		b.Rumours = b.Rumours[:len(b.Rumours)/2]
+		if len(b.Holders)+len(b.Rumours) == 0 {
+			b.Loads = nil
+		}
+		body = wire.Encode(b)
+	}
+	at, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	_, err = c.udp.WriteToUDP(body, at)
+	return errors.Wrap(err, "send heartbeat")
+}
+
+// Run passes beats to hear and answers fetches with what lag returns, until ctx ends.
+func (c *Conn) Run(ctx context.Context, hear func(Beat), lag func(since ident.Revision) Fetched) error {
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	group, _ := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.receive(ctx, hear) })
+	group.Go(func() error { return c.accept(ctx, lag) })
+	return group.Wait()
+}
+
+// Fetch asks an instance for what a replica at a revision lacks; the proof is as old as the answer says when it was asked for.
+func Fetch(ctx context.Context, from string, since ident.Revision) (Fetched, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", from)
+	if err != nil {
+		return Fetched{}, errors.Wrap(err, "connect to peer")
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+	if err := wire.Write(conn, wire.Frame{Kind: wire.KindCall, Body: wire.Encode(since)}); err != nil {
+		return Fetched{}, err
+	}
+	f, err := wire.Read(conn)
+	if err != nil {
+		return Fetched{}, errors.Wrap(err, "read replica")
+	}
+	return wire.Decode[Fetched](f.Body)
+}
+
+func (c *Conn) receive(ctx context.Context, hear func(Beat)) error {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := c.udp.ReadFromUDP(buffer)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue
+		}
+		if b, err := wire.Decode[Beat](buffer[:n]); err == nil {
+			hear(b)
+		}
+	}
+}
+
+func (c *Conn) accept(ctx context.Context, lag func(ident.Revision) Fetched) error {
+	for {
+		conn, err := c.tcp.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue
+		}
+		go answer(conn, lag)
+	}
+}
+
+func answer(conn net.Conn, lag func(ident.Revision) Fetched) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+	f, err := wire.Read(conn)
+	if err != nil {
+		return
+	}
+	since, err := wire.Decode[ident.Revision](f.Body)
+	if err != nil {
+		return
+	}
+	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: wire.Encode(lag(since))})
+}
--- /dev/null
+++ b/connection/forward/exchange.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxSends bounds how often one request is offered to engines that don't run it.
+	maxSends = 4
+	// reuseIdle is how long a kept connection may have been idle for a request that may be repeated.
+	reuseIdle = 4 * time.Second
+	// reuseIdleOnce is the same for one that may not: a connection that the engine closes meanwhile loses it.
+	reuseIdleOnce = 700 * time.Millisecond
+	// patienceShare is the part of its target time that a repeatable request waits at one engine.
+	patienceShare = 0.6
+	// maxAnswer bounds an answer that is kept in memory until it is whole.
+	maxAnswer = 8 << 20
+)
+
+// Results of one attempt.
+const (
+	// answered: the caller has its final answer, or has left.
+	answered result = iota
+	// notRun: the engine did not get the request or did not run it.
+	notRun
+	// lost: the engine may have run it.
+	lost
+	// failed: the engine ran it and answered with a failure, which is kept.
+	failed
+)
+
+type (
+	result int
+
+	// exchange is one request on its way.
+	exchange struct {
+		*Handler
+		w        http.ResponseWriter
+		r        *http.Request
+		id       ident.Request
+		org      ident.Organisation
+		route    *routing.Route
+		service  ident.Service
+		parts    []placing.Part
+		header   http.Header
+		body     []byte
+		arrived  time.Time
+		deadline time.Time
+		tried    []ident.Engine
+		// sends counts all offers to engines, and runs those that an engine may have run.
+		sends, runs int
+		// kept is an engine's own failure, for the caller where nothing better comes.
+		kept *keptAnswer
+		// stream is the answer's state once its head went to the caller.
+		stream *stream
+		reason string
+	}
+
+	// keptAnswer is a whole answer of an engine.
+	keptAnswer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+// run offers the request to engines until it is answered or given up.
+func (x *exchange) run() {
+	ctx := x.r.Context()
+	if x.route.Kind == routing.Unrepeatable {
+		// An engine that has begun finishes the work, also where the caller has left.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	for {
+		now := time.Now()
+		world := x.World()
+		if ctx.Err() != nil || !x.mayContinue(world, now) {
+			break
+		}
+		choice, work, ok := x.Table.Choose(world.Engines.Of(x.service), placing.Request{Parts: x.parts, Domain: x.Domain, Tried: x.tried}, now)
+		if !ok {
+			x.reason = "no engine is left"
+			break
+		}
+		result := x.attempt(ctx, choice, work, now)
+		work.End()
+		x.Log.Debug("attempt", zap.String("request", string(x.id)), zap.String("engine", string(choice.Engine.ID)), zap.Int("result", int(result)),
+			zap.Int("cached", choice.Cached), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
+		if result == answered {
+			return
+		}
+		x.tried = append(x.tried, choice.Engine.ID)
+	}
+	x.giveUp(ctx)
+}
+
+// mayContinue reports whether the request may be offered once more.
+func (x *exchange) mayContinue(world World, now time.Time) bool {
+	if x.sends == 0 {
+		x.Budget.Request(x.service, now)
+		return true
+	}
+	if x.sends >= maxSends || (x.runs > 0 && (!x.route.Repeatable() || x.runs >= x.route.MaxEngines)) {
+		return false
+	}
+	if !x.Budget.Take(x.service, world.Instances, now) {
+		x.reason += "; no budget for a repeat"
+		return false
+	}
+	return true
+}
+
+// attempt offers the request to one engine.
+func (x *exchange) attempt(ctx context.Context, choice placing.Choice, work *placing.Work, now time.Time) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e := choice.Engine
+	patience := x.patience(now)
+	timer := time.AfterFunc(patience, cancel)
+	defer timer.Stop()
+	resp, err := x.Client.Do(ctx, e.Address, x.request(e, now), now)
+	if err != nil {
+		return x.unanswered(e, err, patience)
+	}
+	x.sends++
+	defer func() { _ = resp.Body.Close() }()
+	if report, ok := x.Names.ParseLoad(resp.Header.Get(x.Names.Load)); ok {
+		x.Table.NoteReport(e, report, time.Now())
+	}
+	if resp.Header.Get(x.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		x.reason = "the engine refused with status " + strconv.Itoa(resp.Status)
+		x.Table.Failed(e, resp.Status == http.StatusMisdirectedRequest, time.Now())
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
+		return notRun
+	}
+	x.runs++
+	if resp.Status >= 200 && resp.Status < 300 && x.route.Kind == routing.Stream {
+		return x.relay(resp, e, work, timer)
+	}
+	return x.whole(resp, e, work)
+}
+
+// patience is how long an attempt may take until its first answer.
+func (x *exchange) patience(now time.Time) time.Duration {
+	left := x.deadline.Sub(now)
+	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxEngines || x.route.Target <= 0 {
+		return left
+	}
+	return min(left, time.Duration(patienceShare*float64(x.route.Target)))
+}
+
+func (x *exchange) request(e engines.Engine, now time.Time) upstream.Request {
+	header := x.header.Clone()
+	header.Set(x.Names.Deadline, strconv.FormatInt(max(x.deadline.Sub(now).Milliseconds(), 1), 10))
+	header.Set(x.Names.Expect, string(e.ID))
+	if x.stream != nil && x.stream.last != "" {
+		header.Set(x.Names.LastEvent, x.stream.last)
+	}
+	idle := reuseIdle
+	if !x.route.Repeatable() {
+		idle = reuseIdleOnce
+	}
+	return upstream.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, MaxIdle: idle,
+		Answers: func(h http.Header) bool {
+			id := h.Get(x.Names.RequestID)
+			return id == string(x.id) || (id == "" && h.Get(x.Names.Seal) == "")
+		},
+	}
+}
+
+// unanswered follows an attempt without an answer.
+func (x *exchange) unanswered(e engines.Engine, err error, patience time.Duration) result {
+	now := time.Now()
+	x.reason = err.Error()
+	if x.r.Context().Err() != nil {
+		return lost
+	}
+	var unsent *upstream.NotSentError
+	if errors.As(err, &unsent) {
+		x.Table.Failed(e, true, now)
+		return notRun
+	}
+	x.sends++
+	x.runs++
+	var gone *upstream.LostError
+	stale := errors.As(err, &gone) && gone.Stale
+	x.Table.Failed(e, !stale && patience > 0, now)
+	return lost
+}
+
+// whole reads a whole answer and passes it on.
+func (x *exchange) whole(resp *upstream.Response, e engines.Engine, work *placing.Work) result {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	now := time.Now()
+	if err != nil {
+		x.reason = "the answer broke off: " + err.Error()
+		x.Table.Failed(e, false, now)
+		return lost
+	}
+	work.Started()
+	ok := resp.Status >= 200 && resp.Status < 300
+	if (ok && resp.Header.Get(x.Names.Seal) == "") || resp.Header.Get("Content-Encoding") != "" {
+		x.reason = "the answer is not the engine's"
+		x.Table.Failed(e, false, now)
+		return lost
+	}
+	a := &keptAnswer{status: resp.Status, header: resp.Header, body: body}
+	if resp.Status >= 500 {
+		x.reason = "the engine answered with status " + strconv.Itoa(resp.Status)
+		x.Table.Failed(e, false, now)
+		x.kept = a
+		return failed
+	}
+	x.Table.Answered(e, now)
+	x.pass(a)
+	return answered
+}
+
+// pass writes an engine's whole answer.
+func (x *exchange) pass(a *keptAnswer) {
+	status := a.status
+	header := x.w.Header()
+	copyAnswerHeader(header, a.header)
+	if promises(status) {
+		// The engine did not say that it has not run the request, so the caller must not be told so.
+		status = http.StatusBadGateway
+		header.Del(x.Names.Seal)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(a.body)
+	x.log("answered", status)
+}
+
+// giveUp writes the final answer of a request that no engine answered well.
+func (x *exchange) giveUp(ctx context.Context) {
+	if x.stream != nil {
+		x.log("cut", 0)
+		panic(http.ErrAbortHandler)
+	}
+	if x.r.Context().Err() != nil {
+		x.log("cancelled", 0)
+		return
+	}
+	if x.kept != nil {
+		x.pass(x.kept)
+		return
+	}
+	no := refusal{status: http.StatusBadGateway, reason: x.reason}
+	switch {
+	case x.runs == 0:
+		no.status, no.after = http.StatusServiceUnavailable, retryLater
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		no.status = http.StatusGatewayTimeout
+	}
+	x.log("refused", no.status)
+	x.refuse(x.w, x.r, no)
+}
+
+func (x *exchange) log(outcome string, status int) {
+	x.Log.Info(outcome, zap.String("request", string(x.id)), zap.String("organisation", string(x.org)), zap.String("route", x.route.Name),
+		zap.Int("status", status), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)), zap.String("reason", x.reason))
+}
+
+func copyAnswerHeader(to, from http.Header) {
+	closing := to.Get("Connection")
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	withoutHop(to)
+	if closing != "" {
+		to.Set("Connection", closing)
+	}
+}
+
+// promises reports whether a status tells the caller that its request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/connection/forward/stream.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+const (
+	// gapsAllowed is how many of a route's longest pauses a resumable stream waits at one engine.
+	gapsAllowed = 2.5
+	eventBuffer = 1 << 10
+	maxEvent    = 1 << 20
+)
+
+// stream is an answer in events, of which the caller has a part.
+type stream struct {
+	control *http.ResponseController
+	// last is the id of the last event that went to the caller.
+	last string
+}
+
+// relay passes events on as they come; a stream that breaks off is lost after its last whole event.
+func (x *exchange) relay(resp *upstream.Response, e engines.Engine, work *placing.Work, timer *time.Timer) result {
+	if resp.Header.Get(x.Names.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
+		x.reason = "the answer is not the engine's"
+		x.Table.Failed(e, false, time.Now())
+		return lost
+	}
+	reader := bufio.NewReaderSize(resp.Body, eventBuffer)
+	first := true
+	for {
+		event, err := readEvent(reader)
+		if err != nil {
+			return x.streamEnded(err, len(event), e)
+		}
+		if first {
+			first = false
+			work.Started()
+			x.Table.Answered(e, time.Now())
+		}
+		x.rearm(timer)
+		if err := x.sendEvent(resp, event); err != nil {
+			x.reason = "the caller left"
+			x.log("cancelled", 0)
+			return answered
+		}
+	}
+}
+
+// streamEnded tells a whole stream from one that broke off, perhaps in the middle of an event.
+func (x *exchange) streamEnded(err error, rest int, e engines.Engine) result {
+	if errors.Is(err, io.EOF) && rest == 0 {
+		if x.stream == nil {
+			x.reason = "the stream was empty"
+			return lost
+		}
+		x.log("answered", http.StatusOK)
+		return answered
+	}
+	x.reason = "the stream broke off: " + err.Error()
+	if x.r.Context().Err() == nil {
+		x.Table.Failed(e, true, time.Now())
+	}
+	return lost
+}
+
+// rearm lets the attempt end where the next event is too late, if another engine could go on.
+func (x *exchange) rearm(timer *time.Timer) {
+	if !x.route.Resumable || x.runs >= x.route.MaxEngines || x.route.TargetGap <= 0 {
+		timer.Reset(time.Until(x.deadline))
+		return
+	}
+	timer.Reset(time.Duration(gapsAllowed * float64(x.route.TargetGap)))
+}
+
+func (x *exchange) sendEvent(resp *upstream.Response, event []byte) error {
+	if x.stream == nil {
+		x.stream = &stream{control: http.NewResponseController(x.w)}
+		copyAnswerHeader(x.w.Header(), resp.Header)
+		x.w.WriteHeader(resp.Status)
+	}
+	if _, err := x.w.Write(event); err != nil {
+		return err
+	}
+	if id, ok := eventID(event); ok {
+		x.stream.last = id
+	}
+	return x.stream.control.Flush()
+}
+
+// readEvent reads one event up to its blank line; with an error it returns the part of an event that came.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return event, err
+		}
+		if len(event) > maxEvent {
+			return event, errors.New("an event is too large")
+		}
+		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, nil
+		}
+	}
+}
+
+// eventID returns the value of an event's id field.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/process/entry/heartbeat.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/beat"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"go.uber.org/zap"
+)
+
+const (
+	// beatPeriod is the pause between two rounds of heartbeats.
+	beatPeriod = 250 * time.Millisecond
+	// beatFanOut is how many instances are asked in a round; a fleet of that size is asked whole.
+	beatFanOut = 8
+	// holdersPerBeat and rumoursPerBeat keep a beat within the control budget.
+	holdersPerBeat = 24
+	rumoursPerBeat = 12
+	// holderSpan is how far back the holders of a beat reach; two rounds reach every instance of a small fleet.
+	holderSpan = 600 * time.Millisecond
+	// inlineChanges is how many changes may travel in a beat.
+	inlineChanges = 6
+)
+
+// beatAll sends heartbeats to some instances in each round.
+func (n *Node) beatAll(ctx context.Context) error {
+	for _, seed := range n.settings.Load().Instance.Seeds {
+		n.knowSeed(seed.Addr().String())
+	}
+	for pause.For(ctx, beatPeriod) {
+		for _, m := range n.pick(beatFanOut) {
+			n.send(m.Peer, n.ask())
+		}
+	}
+	return ctx.Err()
+}
+
+// knowSeed adds the instance at an IP number; all instances use the same port for peers.
+func (n *Node) knowSeed(ip string) {
+	peer := joinPort(ip, n.settings.Load().Instance.Peers.Port())
+	if peer != n.self {
+		n.members.Known(peer, boottime.Now())
+	}
+}
+
+// announce sends a heartbeat to as many instances at once as one round does, because something changed.
+func (n *Node) announce() {
+	for _, m := range n.pick(2 * beatFanOut) {
+		n.send(m.Peer, n.ask())
+	}
+}
+
+// pick returns random instances.
+func (n *Node) pick(count int) []members.Member {
+	all := n.members.All(boottime.Now())
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
+}
+
+// hear takes a heartbeat, answers it, and asks for what this replica lacks.
+func (n *Node) hear(b beat.Beat) {
+	if b.Peer == n.self {
+		return
+	}
+	now := boottime.Now()
+	news := n.members.Hear(members.Member{
+		Peer: b.Peer, Callers: b.Callers, Domain: b.Domain, State: b.State, Incarnation: b.Incarnation, StoreLost: b.StoreLost, Heard: now,
+	})
+	if news {
+		n.log.Info("peer", zap.String("peer", b.Peer), zap.Int("state", int(b.State)))
+	}
+	n.members.HeardBy(b.Rumours, now)
+	wall := time.Now()
+	n.table.NoteLoads(b.Peer, b.Loads, wall)
+	holders := make([]placing.Holder, len(b.Holders))
+	for i, h := range b.Holders {
+		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: wall.Add(-h.Age)}
+	}
+	n.table.NoteHolders(holders)
+	if b.Answer > 0 {
+		n.takeProof(b)
+	}
+	if b.Ask > 0 {
+		n.answer(b)
+	}
+	if revision, _, loaded := n.mirror.State(); b.Revision > revision || !loaded {
+		select {
+		case n.hint <- b.Peer:
+		default:
+		}
+	}
+}
+
+// takeProof takes what an answer says of the replicas: it was true at or after the moment at which this instance asked.
+func (n *Node) takeProof(b beat.Beat) {
+	if b.ProofAge < 0 {
+		return
+	}
+	proven := b.Answer.Add(-b.ProofAge)
+	if b.Changed {
+		n.take(b, proven)
+	}
+	n.mirror.Prove(b.Revision, proven)
+}
+
+// answer sends this instance's state to one that asked, with the changes that it lacks if they are few.
+func (n *Node) answer(b beat.Beat) {
+	reply := n.beat()
+	reply.Answer = b.Ask
+	if b.Revision > 0 && b.Revision < reply.Revision {
+		if d := n.mirror.Since(b.Revision); !d.Full && len(d.Entries) <= inlineChanges {
+			reply.Changes, reply.Changed, reply.Revision = d.Entries, true, d.Revision
+		}
+	}
+	n.send(b.Peer, reply)
+}
+
+func (n *Node) ask() beat.Beat {
+	b := n.beat()
+	b.Ask = boottime.Now()
+	return b
+}
+
+func (n *Node) beat() beat.Beat {
+	s := n.settings.Load()
+	now := boottime.Now()
+	revision, _, _ := n.mirror.State()
+	b := beat.Beat{
+		Peer: n.self, Callers: s.Instance.Callers.String(), Domain: s.Instance.FailureDomain, State: n.state(), Incarnation: n.incarnation,
+		StoreLost: n.storeLost.Load(), Revision: revision, ProofAge: n.proofAge(now), Loads: n.table.Loads(),
+	}
+	wall := time.Now()
+	for _, h := range n.table.Recent(wall.Add(-holderSpan), holdersPerBeat) {
+		b.Holders = append(b.Holders, beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: wall.Sub(h.At)})
+	}
+	for _, m := range n.pick(rumoursPerBeat) {
+		if m.Callers != "" {
+			b.Rumours = append(b.Rumours, members.Rumour{Peer: m.Peer, Age: now.Sub(m.Heard)})
+		}
+	}
+	return b
+}
+
+func (n *Node) send(to string, b beat.Beat) {
+	if err := n.beats.Send(to, b); err != nil {
+		n.log.Debug("heartbeat not sent", zap.String("peer", to), zap.Error(err))
+	}
+}
+
+// lag returns what a replica at a revision lacks.
+func (n *Node) lag(since ident.Revision) beat.Fetched {
+	age := n.proofAge(boottime.Now())
+	return beat.Fetched{Delta: n.mirror.Since(since), ProofAge: age}
+}
--- /dev/null
+++ b/process/entry/node.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/beat"
+	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/request/retries"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// loadShare is the part of the allowed multiple of the mean load that choices use, since counts are a moment old.
+	loadShare = 0.75
+	// defaultLoadFactor applies where the platform sets no multiple of the mean load.
+	defaultLoadFactor = 2
+	// headerTimeout bounds how long a caller may take to send a request's head.
+	headerTimeout = 10 * time.Second
+	// sweepPeriod is the pause between two sweeps of idle connections and forgotten engines.
+	sweepPeriod = time.Second
+	// lingerFactor is how many validities of the address answer callers may go on using it.
+	lingerFactor = 3
+	// addressValidity is how long callers keep the address answer.
+	addressValidity = time.Second
+)
+
+type (
+	// Store is the platform's store.
+	Store interface {
+		// Read returns all entries below a prefix, and a revision at which none was missing.
+		Read(ctx context.Context, prefix string) ([]mirror.Entry, ident.Revision, error)
+		// Watch returns the changes after a revision as soon as there are any, or none after a wait; it fails with *CompactedError where they are not kept any more.
+		Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error)
+		// Lend stores a value that disappears unless it is renewed within the time, and returns the lease.
+		Lend(ctx context.Context, key string, value []byte, life time.Duration) (string, error)
+		// Renew keeps a lease for another such time.
+		Renew(ctx context.Context, lease string) error
+	}
+
+	// Decoder reads the entries of the store.
+	Decoder interface {
+		// Configuration reads the operators' configuration.
+		Configuration(value []byte) (*routing.Configuration, error)
+		// Engine reads what an engine registered.
+		Engine(key string, value []byte) (engines.Engine, error)
+	}
+
+	// Keys say where entries lie in the store.
+	Keys struct {
+		Configuration string
+		Engines       string
+		Instances     string
+	}
+
+	// Platform is what the entry instance needs of the platform.
+	Platform struct {
+		Store   Store
+		Decoder Decoder
+		Keys    Keys
+		Names   forward.Names
+		// ReadyPath and DirectoryPath are where the platform and callers ask.
+		ReadyPath, DirectoryPath string
+		// WriteDirectory writes the answer to callers that ask for addresses.
+		WriteDirectory func(w http.ResponseWriter, addresses []string, validity time.Duration)
+	}
+
+	// CompactedError says that the store has dropped the history after a revision.
+	CompactedError struct{ After ident.Revision }
+
+	// Node is one instance.
+	Node struct {
+		settings    atomic.Pointer[Settings]
+		platform    Platform
+		log         *zap.Logger
+		self        string
+		incarnation ident.Incarnation
+		mirror      *mirror.Mirror
+		members     *members.Table
+		table       *placing.Table
+		budget      *retries.Budget
+		client      *upstream.Client
+		beats       *beat.Conn
+		stopping    atomic.Bool
+		storeLost   atomic.Bool
+		hint        chan string
+		storeDown   sync.Map
+
+		world         atomic.Pointer[world]
+		worldMu       sync.Mutex
+		lastBroken    map[string]ident.Revision
+		configuration ident.Revision
+	}
+
+	// world is what the entries of the store say.
+	world struct {
+		configuration *routing.Configuration
+		engines       *engines.List
+	}
+)
+
+// Error names the revision.
+func (e *CompactedError) Error() string { return "the history is no longer kept" }
+
+// New returns an instance, not yet running; it fails where its peer address is taken.
+func New(s Settings, p Platform, log *zap.Logger, now time.Time) (*Node, error) {
+	beats, err := beat.Listen(s.Instance.Peers.String())
+	if err != nil {
+		return nil, err
+	}
+	factor := s.Bounds.LoadFactor
+	if factor == 0 {
+		factor = defaultLoadFactor
+	}
+	n := &Node{
+		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
+		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
+		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
+		client: upstream.New(), beats: beats, hint: make(chan string, 16), lastBroken: make(map[string]ident.Revision),
+	}
+	n.settings.Store(&s)
+	n.world.Store(&world{engines: engines.NewList(nil)})
+	return n, nil
+}
+
+// Run serves until ctx ends, then finishes what is in progress and returns.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.settings.Load()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(work)
+	callers := &http.Server{Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+	directory := &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+	serve := []struct {
+		server  *http.Server
+		address string
+	}{{callers, s.Instance.Callers.String()}, {ready, s.Instance.Ready.String()}, {directory, s.Instance.Directory.String()}}
+	for _, each := range serve {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		group.Go(func() error { return ignoreClosed(each.server.Serve(listener)) })
+	}
+	group.Go(func() error { return n.beats.Run(groupCtx, n.hear, n.lag) })
+	group.Go(func() error { return n.beatAll(groupCtx) })
+	group.Go(func() error { return n.follow(groupCtx) })
+	group.Go(func() error { return n.readStore(groupCtx) })
+	group.Go(func() error { return n.register(groupCtx) })
+	group.Go(func() error { return n.sweep(groupCtx) })
+	n.log.Info("started", zap.String("peer", n.self))
+	select {
+	case <-ctx.Done():
+		n.shutDown(work, callers)
+	case <-groupCtx.Done():
+	}
+	stop()
+	_ = callers.Close()
+	_ = ready.Close()
+	_ = directory.Close()
+	err := group.Wait()
+	n.log.Info("stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Reload takes changed settings; addresses stay as they are.
+func (n *Node) Reload(s Settings) {
+	n.settings.Store(&s)
+	n.log.Info("settings reloaded")
+}
+
+func (n *Node) handler(s *Settings) http.Handler {
+	return forward.New(forward.Parts{
+		Names: n.platform.Names, Limits: forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}, Domain: s.Instance.FailureDomain,
+		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Log: n.log, Closing: n.stopping.Load,
+	})
+}
+
+// shutDown leaves the address answers, serves on while callers may still come, and finishes what is in progress.
+func (n *Node) shutDown(ctx context.Context, callers *http.Server) {
+	s := n.settings.Load()
+	n.log.Info("stopping")
+	n.stopping.Store(true)
+	n.announce()
+	ctx, cancel := context.WithTimeout(ctx, s.Bounds.Shutdown.Std()-stopMargin)
+	defer cancel()
+	pause.For(ctx, lingerFactor*min(addressValidity, s.Bounds.MaxAddressValidity.Std()))
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.Warn("requests were cut at shutdown", zap.Error(err))
+	}
+}
+
+// sweep forgets what is gone.
+func (n *Node) sweep(ctx context.Context) error {
+	for pause.For(ctx, sweepPeriod) {
+		now := time.Now()
+		addresses := make(map[string]bool)
+		keys := make(map[placing.Key]bool)
+		for _, e := range n.world.Load().engines.All() {
+			addresses[e.Address] = true
+			keys[placing.KeyOf(e)] = true
+		}
+		n.client.CloseIdle(func(a string) bool { return addresses[a] }, now)
+		n.table.Forget(func(k placing.Key) bool { return keys[k] }, now)
+	}
+	return ctx.Err()
+}
+
+func (n *Node) proofAge(now boottime.Instant) time.Duration {
+	_, proven, loaded := n.mirror.State()
+	if !loaded {
+		return beat.Unproven
+	}
+	return now.Sub(proven)
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
--- /dev/null
+++ b/process/entry/reading.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/beat"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/process/readers"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"go.uber.org/zap"
+)
+
+const (
+	// watchWait is how long a watch of the store waits for a change; its return proves the replica current.
+	watchWait = time.Second
+	// watchPause keeps a reader from calling the store for each single change in quick succession.
+	watchPause = 60 * time.Millisecond
+	// callTimeout bounds a call to the store beyond the wait that it was asked for.
+	callTimeout = 700 * time.Millisecond
+	// failPause is the pause after a failed call, doubled up to failPauseMost.
+	failPause     = 200 * time.Millisecond
+	failPauseMost = time.Second
+	// checkPeriod is how often an instance that does not read checks whether it is to.
+	checkPeriod = 100 * time.Millisecond
+	// registrationLife is how long an instance stays registered after its end, and renewPeriod how often it renews.
+	registrationLife = 30 * time.Second
+	renewPeriod      = 10 * time.Second
+)
+
+// readStore reads the store while this instance is to do so for all.
+func (n *Node) readStore(ctx context.Context) error {
+	failures := 0
+	last := time.Now()
+	lastTry := last
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !n.isToRead(now.Sub(lastTry)) {
+			pause.For(ctx, checkPeriod)
+			continue
+		}
+		lastTry = now
+		if err := n.readOnce(ctx); err != nil {
+			if failures == 0 && ctx.Err() == nil {
+				n.log.Warn("store lost", zap.Error(err))
+			}
+			failures++
+			n.storeLost.Store(failures > 1)
+			pause.For(ctx, min(failPause<<min(failures-1, 3), failPauseMost))
+			continue
+		}
+		if failures > 0 {
+			n.log.Info("store regained", zap.Int("failures", failures))
+		}
+		failures = 0
+		n.storeLost.Store(false)
+		pause.For(ctx, watchPause)
+	}
+	return ctx.Err()
+}
+
+// isToRead reports whether this instance reads the store now.
+func (n *Node) isToRead(sinceLast time.Duration) bool {
+	now := boottime.Now()
+	age := n.proofAge(now)
+	if age == beat.Unproven {
+		return true
+	}
+	if n.stopping.Load() {
+		return false
+	}
+	all := []readers.Instance{}
+	if !n.storeLost.Load() {
+		all = append(all, readers.Instance{Peer: n.self, Domain: n.settings.Load().Instance.FailureDomain})
+	}
+	alive := n.members.Alive(now)
+	for _, m := range alive {
+		if m.State != members.Stopping && !m.StoreLost {
+			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
+		}
+	}
+	return readers.Chosen(n.self, all) || readers.Helps(age, sinceLast, len(alive)+1, rand.Float64())
+}
+
+// readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
+func (n *Node) readOnce(ctx context.Context) error {
+	sent := boottime.Now()
+	revision, _, loaded := n.mirror.State()
+	if loaded {
+		wait := watchWait
+		if n.proofAge(sent) > watchWait*2 {
+			wait = time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		defer cancel()
+		changes, at, err := n.platform.Store.Watch(ctx, "", revision, wait)
+		var compacted *CompactedError
+		if err == nil {
+			n.news(mirror.Delta{Entries: changes, Revision: at}, sent)
+			return nil
+		}
+		if !errors.As(err, &compacted) {
+			return err
+		}
+		n.log.Info("store dropped its history", zap.Int64("after", int64(revision)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	sent = boottime.Now()
+	entries, at, err := n.platform.Store.Read(ctx, "")
+	if err != nil {
+		return err
+	}
+	n.news(mirror.Delta{Full: true, Entries: entries, Revision: at}, sent)
+	return nil
+}
+
+// news applies what was read and lets the other instances know.
+func (n *Node) news(d mirror.Delta, proven boottime.Instant) {
+	if n.apply(d, proven) {
+		n.announce()
+	}
+}
+
+// follow fetches from instances whose replicas are ahead of this one.
+func (n *Node) follow(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case peer := <-n.hint:
+			n.fetch(ctx, peer)
+		}
+	}
+}
+
+func (n *Node) fetch(ctx context.Context, peer string) {
+	revision, _, _ := n.mirror.State()
+	asked := boottime.Now()
+	f, err := beat.Fetch(ctx, peer, revision)
+	if err != nil {
+		n.log.Debug("replica not fetched", zap.String("peer", peer), zap.Error(err))
+		return
+	}
+	if f.ProofAge >= 0 && f.Delta.Revision >= revision {
+		n.apply(f.Delta, asked.Add(-f.ProofAge))
+	}
+}
+
+// take applies the changes that came with an answer.
+func (n *Node) take(b beat.Beat, proven boottime.Instant) {
+	n.apply(mirror.Delta{Entries: b.Changes, Revision: b.Revision}, proven)
+}
+
+// register keeps this instance's peer address in the store, for instances that start later.
+func (n *Node) register(ctx context.Context) error {
+	name := n.settings.Load().Instance.Name
+	lease := ""
+	for ctx.Err() == nil {
+		err := n.renew(ctx, &lease, name)
+		wait := renewPeriod
+		if err != nil {
+			n.log.Debug("not registered", zap.Error(err))
+			wait = failPauseMost
+		}
+		if !pause.For(ctx, wait) || n.stopping.Load() {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+func (n *Node) renew(ctx context.Context, lease *string, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if *lease == "" {
+		id, err := n.platform.Store.Lend(ctx, n.platform.Keys.Instances+name, []byte(n.self), registrationLife)
+		*lease = id
+		return err
+	}
+	err := n.platform.Store.Renew(ctx, *lease)
+	if err != nil {
+		*lease = ""
+	}
+	return err
+}
+
+func joinPort(ip string, port uint16) string { return net.JoinHostPort(ip, strconv.Itoa(int(port))) }
--- /dev/null
+++ b/process/entry/settings.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/request/retries"
+)
+
+const (
+	// keyMargin is left of the time in which a revoked key ends, for requests on their way and clocks that differ in rate.
+	keyMargin = 500 * time.Millisecond
+	// defaultKeyAge applies where the platform sets no bound for revoked keys.
+	defaultKeyAge = 30 * time.Second
+	// stopMargin is left of the time that the platform gives a process to stop.
+	stopMargin = 700 * time.Millisecond
+)
+
+type (
+	// Settings are those of one instance, as the deploy file's template writes them.
+	Settings struct {
+		Instance struct {
+			Name          string             `toml:"name"`
+			FailureDomain ident.Domain       `toml:"failureDomain"`
+			Callers       tomlfile.Address   `toml:"callers"`
+			Ready         tomlfile.Address   `toml:"ready"`
+			Directory     tomlfile.Address   `toml:"directory"`
+			Peers         tomlfile.Address   `toml:"peers"`
+			Seeds         []tomlfile.Address `toml:"seeds"`
+		} `toml:"instance"`
+		Store struct {
+			Address tomlfile.Address `toml:"address"`
+			// MinLease is the shortest time for which the store lends a key.
+			MinLease tomlfile.Duration `toml:"minLease"`
+		} `toml:"store"`
+		Bounds struct {
+			// KeyRevocation is the time after which a revoked key must not be accepted, or 0 where it may be.
+			KeyRevocation tomlfile.Duration `toml:"keyRevocation"`
+			// Contact is the time after which an instance without contact to the store counts as cut off.
+			Contact tomlfile.Duration `toml:"contact"`
+			// Shutdown is the time that the platform gives a process to stop.
+			Shutdown tomlfile.Duration `toml:"shutdown"`
+			// MaxAddressValidity bounds how long callers keep addresses.
+			MaxAddressValidity tomlfile.Duration `toml:"maxAddressValidity"`
+			// LoadFactor is the multiple of the mean load that an engine may hold.
+			LoadFactor float64 `toml:"loadFactor"`
+		} `toml:"bounds"`
+		Retries struct {
+			Ratio  float64           `toml:"ratio"`
+			Slack  float64           `toml:"slack"`
+			Window tomlfile.Duration `toml:"window"`
+		} `toml:"retries"`
+	}
+)
+
+// Load reads and checks a settings file; it fails with a *tomlfile.FieldError on a wrong field.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse does what Load does with the content of a file.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	if err := tomlfile.Decode(file, data, &s); err != nil {
+		return Settings{}, err
+	}
+	rules := []struct {
+		ok                   bool
+		table, key, expected string
+	}{
+		{s.Instance.Name != "", "instance", "name", "expected the instance's name"},
+		{s.Instance.FailureDomain != "", "instance", "failureDomain", "expected the instance's failure domain"},
+		{s.Instance.Callers.IsValid(), "instance", "callers", "expected the IP number and port for callers"},
+		{s.Instance.Ready.IsValid(), "instance", "ready", "expected the IP number and port of the readiness check"},
+		{s.Instance.Directory.IsValid(), "instance", "directory", "expected the IP number and port at which callers ask for addresses"},
+		{s.Instance.Peers.IsValid(), "instance", "peers", "expected the IP number and port for peers"},
+		{s.Store.Address.IsValid(), "store", "address", "expected the IP number and port of the platform's store"},
+		{s.Bounds.Shutdown.Std() > 0, "bounds", "shutdown", "expected a duration above 0"},
+		{s.Bounds.LoadFactor >= 0, "bounds", "loadFactor", "expected a multiple of 0 or more"},
+		{s.Retries.Ratio >= 0, "retries", "ratio", "expected a ratio of 0 or more"},
+		{s.Retries.Slack >= 0, "retries", "slack", "expected a count of 0 or more"},
+		{s.Retries.Window.Std() > 0, "retries", "window", "expected a duration above 0"},
+	}
+	for _, r := range rules {
+		if !r.ok {
+			return Settings{}, &tomlfile.FieldError{File: file, Line: tomlfile.Line(data, r.table, 0, r.key), Field: r.table + "." + r.key, Expected: r.expected}
+		}
+	}
+	return s, nil
+}
+
+// keyAge returns the age up to which a configuration may accept a key.
+func (s *Settings) keyAge() time.Duration {
+	if s.Bounds.KeyRevocation.Std() == 0 {
+		return defaultKeyAge
+	}
+	return s.Bounds.KeyRevocation.Std() - keyMargin
+}
+
+// denyAge returns the age up to which a configuration may call a route or key unknown.
+func (s *Settings) denyAge() time.Duration { return min(s.keyAge(), s.Bounds.Contact.Std()) }
+
+func (s *Settings) retryPolicy() retries.Policy {
+	return retries.Policy{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()}
+}
--- /dev/null
+++ b/process/entry/world.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"go.uber.org/zap"
+)
+
+// worldNow returns what requests are decided on at this moment.
+func (n *Node) worldNow() forward.World {
+	now := boottime.Now()
+	w := n.world.Load()
+	age := n.proofAge(now)
+	if age < 0 {
+		age = math.MaxInt64
+	}
+	return forward.World{Configuration: w.configuration, Engines: w.engines, ProofAge: age, Instances: len(n.members.Alive(now)) + 1}
+}
+
+// apply takes changes of the store into the replica and into what requests are decided on.
+func (n *Node) apply(d mirror.Delta, proven boottime.Instant) bool {
+	n.worldMu.Lock()
+	defer n.worldMu.Unlock()
+	news := n.mirror.Apply(d, proven)
+	if len(news) == 0 {
+		return false
+	}
+	configuration, engineList := false, false
+	for _, e := range news {
+		configuration = configuration || e.Key == n.platform.Keys.Configuration
+		engineList = engineList || strings.HasPrefix(e.Key, n.platform.Keys.Engines)
+		if strings.HasPrefix(e.Key, n.platform.Keys.Instances) && !e.Deleted && string(e.Value) != n.self {
+			n.members.Known(string(e.Value), boottime.Now())
+		}
+	}
+	next := *n.world.Load()
+	if configuration {
+		n.readConfiguration(&next)
+	}
+	if engineList {
+		n.readEngines(&next)
+	}
+	n.world.Store(&next)
+	return true
+}
+
+// readConfiguration takes the configuration where it can be read and is newer than the one in force.
+func (n *Node) readConfiguration(next *world) {
+	entry, ok := n.mirror.Get(n.platform.Keys.Configuration)
+	if !ok {
+		return
+	}
+	c, err := n.platform.Decoder.Configuration(entry.Value)
+	if err != nil {
+		n.logBroken(entry, err)
+		return
+	}
+	if next.configuration != nil && c.Version < next.configuration.Version {
+		n.log.Warn("an older configuration is not taken", zap.Int64("version", int64(c.Version)), zap.Int64("inForce", int64(next.configuration.Version)))
+		return
+	}
+	next.configuration = c
+	n.log.Info("configuration in force", zap.Int64("version", int64(c.Version)), zap.Int64("revision", int64(entry.Revision)))
+}
+
+// readEngines takes all entries of engines that can be read.
+func (n *Node) readEngines(next *world) {
+	var list []engines.Engine
+	for _, entry := range n.mirror.List(n.platform.Keys.Engines) {
+		e, err := n.platform.Decoder.Engine(entry.Key, entry.Value)
+		if err != nil {
+			n.logBroken(entry, err)
+			continue
+		}
+		list = append(list, e)
+	}
+	next.engines = engines.NewList(list)
+	n.log.Info("engines known", zap.Int("ready", next.engines.Len()), zap.Int("all", len(list)))
+}
+
+// logBroken logs an entry that cannot be read, once for each of its revisions.
+func (n *Node) logBroken(entry mirror.Entry, err error) {
+	if n.lastBroken[entry.Key] == entry.Revision {
+		return
+	}
+	n.lastBroken[entry.Key] = entry.Revision
+	n.log.Warn("an entry of the store cannot be read", zap.String("key", entry.Key), zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
+}
+
+func (n *Node) state() members.State {
+	switch {
+	case n.stopping.Load():
+		return members.Stopping
+	case n.world.Load().configuration == nil || n.proofAge(boottime.Now()) > n.settings.Load().keyAge():
+		return members.Starting
+	}
+	return members.Ready
+}
+
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if n.state() != members.Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// directoryHandler answers callers that ask which addresses to use: the ready instances, or all living ones where none is ready.
+func (n *Node) directoryHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.platform.DirectoryPath, func(w http.ResponseWriter, _ *http.Request) {
+		n.platform.WriteDirectory(w, n.addresses(), min(addressValidity, max(n.settings.Load().Bounds.MaxAddressValidity.Std(), time.Second)))
+	})
+	return mux
+}
+
+func (n *Node) addresses() []string {
+	self := n.settings.Load().Instance.Callers.String()
+	var ready, living []string
+	if s := n.state(); s == members.Ready {
+		ready = append(ready, self)
+	} else if s == members.Starting {
+		living = append(living, self)
+	}
+	for _, m := range n.members.Alive(boottime.Now()) {
+		switch m.State {
+		case members.Ready:
+			ready = append(ready, m.Callers)
+		case members.Starting:
+			living = append(living, m.Callers)
+		}
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	return living
+}
--- /dev/null
+++ b/request/placing/choose.go
@@ -0,0 +1,214 @@
+package placing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+const (
+	// failureStep is the weight of one answer in the share of failures.
+	failureStep = 0.25
+	// loadAllowance is how many requests above the bound an engine may hold, so that small counts don't bind.
+	loadAllowance = 1
+	// loadTokens is what one running request delays another one, in tokens of prompt read.
+	loadTokens = 150
+	// rankTokens spreads chains that no engine holds over the engines, the same way at every instance.
+	rankTokens = 300
+	// domainTokens is the cost of another failure domain.
+	domainTokens = 50
+	// failureTokens is the cost of an engine that fails all of its requests.
+	failureTokens = 20000
+	// failureLoad, domainLoad and spreadLoad are the same for plain services, in running requests.
+	failureLoad = 12
+	domainLoad  = 0.3
+	spreadLoad  = 0.5
+	percent     = 100
+)
+
+type (
+	// Request is what a choice is made for.
+	Request struct {
+		// Parts are the parts of the prompt; empty for requests of plain services.
+		Parts  []Part
+		Domain ident.Domain
+		// Tried are engines that had the request before.
+		Tried []ident.Engine
+	}
+
+	// Choice is an engine with what decided for it.
+	Choice struct {
+		Engine engines.Engine
+		// Cached is how many tokens of the prompt the engine is taken to hold.
+		Cached int
+		// Load and Mean are the requests at the engine and at its service's engines on average.
+		Load int
+		Mean float64
+		Cost float64
+	}
+
+	// Work is one request that runs at an engine.
+	Work struct {
+		table   *Table
+		key     Key
+		reading int
+		ended   bool
+	}
+)
+
+// Choose returns the engine of the least cost, and counts the request there; it reports false where there is no engine left to try.
+func (t *Table) Choose(list []engines.Engine, r Request, now time.Time) (Choice, *Work, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads, mean := t.loads(list, now)
+	limit := t.policy.LoadBound*mean + loadAllowance
+	best := Choice{Cost: math.Inf(1)}
+	class := math.MaxInt
+	for i, e := range list {
+		if contains(r.Tried, e.ID) {
+			continue
+		}
+		key := KeyOf(e)
+		s := t.state(key)
+		c := t.cost(e, key, s, r, loads[i], now)
+		c.Mean = mean
+		rank := 0
+		if float64(loads[i]) > limit {
+			rank = 1
+		}
+		if now.Before(s.heldUntil) {
+			rank = 2
+		}
+		if rank < class || (rank == class && c.Cost < best.Cost) {
+			best, class = c, rank
+		}
+	}
+	if class == math.MaxInt {
+		return Choice{}, nil, false
+	}
+	return best, t.begin(best, r, now), true
+}
+
+// Started notes that the engine has read the prompt.
+func (w *Work) Started() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.table.state(w.key).reading -= w.reading
+	w.reading = 0
+}
+
+// End notes that the engine no longer works on the request.
+func (w *Work) End() {
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	s := w.table.state(w.key)
+	s.running--
+	s.reading -= w.reading
+}
+
+func (t *Table) begin(c Choice, r Request, now time.Time) *Work {
+	key := KeyOf(c.Engine)
+	w := &Work{table: t, key: key, reading: tokens(r.Parts) - c.Cached}
+	s := t.state(key)
+	s.running++
+	s.reading += w.reading
+	for _, p := range r.Parts {
+		t.noteHolder(Holder{Chain: p.Chain, Engine: key, At: now})
+	}
+	return w
+}
+
+// loads returns the requests at each engine, by all that is known, and their mean.
+func (t *Table) loads(list []engines.Engine, now time.Time) ([]int, float64) {
+	loads := make([]int, len(list))
+	sum := 0
+	for i, e := range list {
+		key := KeyOf(e)
+		s := t.state(key)
+		n := s.running
+		for _, r := range t.remote {
+			if now.Sub(r.at) < remoteLife {
+				n += r.loads[key]
+			}
+		}
+		if now.Sub(s.reportedAt) < reportLife {
+			n = max(n, s.report.Running+s.report.Waiting)
+		}
+		loads[i] = n
+		sum += n
+	}
+	return loads, float64(sum) / float64(max(len(list), 1))
+}
+
+func (t *Table) cost(e engines.Engine, key Key, s *state, r Request, load int, now time.Time) Choice {
+	c := Choice{Engine: e, Load: load}
+	slow := 1.0
+	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < reportLife {
+		slow = max(s.report.Slowness, 1)
+	}
+	away := 0.0
+	if e.Domain != r.Domain {
+		away = 1
+	}
+	if len(r.Parts) == 0 {
+		c.Cost = slow*float64(load) + failureLoad*s.failure(now) + domainLoad*away + spreadLoad*rand.Float64()
+		return c
+	}
+	c.Cached = t.cached(key, r.Parts, now)
+	work := float64(tokens(r.Parts)-c.Cached+s.reading) + loadTokens*float64(load)
+	c.Cost = slow*work + failureTokens*s.failure(now) + domainTokens*away + rankTokens*preference(key, r.Parts)
+	return c
+}
+
+// cached returns how many tokens at the beginning of the prompt the engine is taken to hold.
+func (t *Table) cached(key Key, parts []Part, now time.Time) int {
+	held := 0
+	for _, p := range parts {
+		holders, _ := t.chains.Peek(p.Chain)
+		found := false
+		for _, h := range holders {
+			found = found || (h.Engine == key && now.Sub(h.At) < holderLife)
+		}
+		if !found {
+			break
+		}
+		held += p.Tokens
+	}
+	return held
+}
+
+// preference returns a number from 0 to 10 that is the same at every instance for an engine and a prompt, leaving the request's own part out.
+func preference(key Key, parts []Part) float64 {
+	chain := parts[max(len(parts)-2, 0)].Chain
+	var raw [8]byte
+	for i := range 4 {
+		raw[i] = byte(key >> (8 * i))
+		raw[4+i] = byte(chain >> (8 * i))
+	}
+	return float64(xxhash.Sum64(raw[:])%(10*percent)) / percent
+}
+
+func tokens(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+func contains[T comparable](list []T, v T) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/request/placing/table.go
@@ -0,0 +1,248 @@
+package placing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+const (
+	// maxChains bounds how many chains of prompt parts are remembered.
+	maxChains = 8192
+	// holdersPerChain is how many engines are remembered for a chain.
+	holdersPerChain = 3
+	// holderLife is how long an engine is taken to hold what it has read.
+	holderLife = 60 * time.Second
+	// remoteLife is how long the count of another instance is believed.
+	remoteLife = 2 * time.Second
+	// reportLife is how long the load that an engine stated is believed.
+	reportLife = 400 * time.Millisecond
+	// failureHalfLife is the time in which the memory of a failure halves.
+	failureHalfLife = 3 * time.Second
+	holdFirst       = 300 * time.Millisecond
+	holdMost        = 3 * time.Second
+)
+
+type (
+	// Key identifies one incarnation of an engine between instances.
+	Key uint32
+
+	// Chain identifies the beginning of a prompt up to a part.
+	Chain uint32
+
+	// Part is one part of a prompt.
+	Part struct {
+		Chain  Chain
+		Tokens int
+	}
+
+	// Holder is an engine that has read a chain.
+	Holder struct {
+		Chain  Chain
+		Engine Key
+		At     time.Time
+	}
+
+	// Report is what an engine says of its load.
+	Report struct {
+		Running, Waiting, Slots int
+		// Slowness is how long work takes at this moment, 1 being as usual, or 0 where it is not told.
+		Slowness float64
+	}
+
+	// Table is what one instance knows of the engines.
+	Table struct {
+		mu      sync.Mutex
+		policy  Policy
+		engines map[Key]*state
+		remote  map[string]remote
+		chains  *simplelru.LRU[Chain, []Holder]
+	}
+
+	// Policy bounds what a choice may do.
+	Policy struct {
+		// LoadBound is the multiple of the mean load up to which an engine is chosen for what it holds.
+		LoadBound float64
+	}
+
+	state struct {
+		running int
+		// reading is how many tokens of prompts this instance has sent to be read, without a first answer yet.
+		reading    int
+		report     Report
+		reportedAt time.Time
+		failing    float64
+		failedAt   time.Time
+		hold       time.Duration
+		heldUntil  time.Time
+		answered   time.Time
+	}
+
+	remote struct {
+		loads map[Key]int
+		at    time.Time
+	}
+)
+
+// New returns a table that knows of nothing.
+func New(p Policy) *Table {
+	chains, err := simplelru.NewLRU[Chain, []Holder](maxChains, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &Table{policy: p, engines: make(map[Key]*state), remote: make(map[string]remote), chains: chains}
+}
+
+// KeyOf returns the key of an engine's incarnation.
+func KeyOf(e engines.Engine) Key {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(e.ID))
+	for shift := 0; shift < 64; shift += 8 {
+		_, _ = d.Write([]byte{byte(e.Born >> shift)})
+	}
+	return Key(d.Sum64())
+}
+
+// Chains returns the parts of a prompt with the chain that each ends.
+func Chains(ids []string, tokens []int, model ident.Model) []Part {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(model))
+	parts := make([]Part, len(ids))
+	for i, id := range ids {
+		_, _ = d.WriteString("\x00" + id)
+		parts[i] = Part{Chain: Chain(d.Sum64()), Tokens: tokens[i]}
+	}
+	return parts
+}
+
+// Loads returns how many requests of this instance run at each engine.
+func (t *Table) Loads() map[Key]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make(map[Key]int)
+	for k, s := range t.engines {
+		if s.running > 0 {
+			loads[k] = s.running
+		}
+	}
+	return loads
+}
+
+// NoteLoads takes the counts of another instance.
+func (t *Table) NoteLoads(instance string, loads map[Key]int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remote[instance] = remote{loads: loads, at: now}
+}
+
+// NoteHolders takes what other instances know of engines that hold chains.
+func (t *Table) NoteHolders(list []Holder) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range list {
+		t.noteHolder(h)
+	}
+}
+
+// Recent returns the chains that were read or used since a time, newest last, at most limit of them.
+func (t *Table) Recent(since time.Time, limit int) []Holder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Holder
+	keys := t.chains.Keys()
+	for i := len(keys) - 1; i >= 0 && len(list) < limit; i-- {
+		holders, _ := t.chains.Peek(keys[i])
+		for _, h := range holders {
+			if h.At.After(since) && len(list) < limit {
+				list = append(list, h)
+			}
+		}
+	}
+	return list
+}
+
+// NoteReport takes the load that an engine stated with an answer.
+func (t *Table) NoteReport(e engines.Engine, r Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(KeyOf(e))
+	s.report, s.reportedAt = r, now
+}
+
+// Failed notes that an engine failed a request; one that could not be reached is left alone for a while, longer each time.
+func (t *Table) Failed(e engines.Engine, unreachable bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(KeyOf(e))
+	s.failing = s.failure(now) + (1-s.failure(now))*failureStep
+	s.failedAt = now
+	if unreachable && now.After(s.heldUntil) {
+		s.hold = min(max(2*s.hold, holdFirst), holdMost)
+		s.heldUntil = now.Add(s.hold)
+	}
+}
+
+// Answered notes a good answer of an engine.
+func (t *Table) Answered(e engines.Engine, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(KeyOf(e))
+	s.failing = s.failure(now) * (1 - failureStep)
+	s.failedAt = now
+	s.hold = 0
+	s.heldUntil = time.Time{}
+	s.answered = now
+}
+
+// Forget drops what is known of engines and instances that are gone.
+func (t *Table) Forget(known func(Key) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, s := range t.engines {
+		if !known(k) && s.running == 0 {
+			delete(t.engines, k)
+		}
+	}
+	for id, r := range t.remote {
+		if now.Sub(r.at) > remoteLife {
+			delete(t.remote, id)
+		}
+	}
+}
+
+func (t *Table) state(k Key) *state {
+	s, ok := t.engines[k]
+	if !ok {
+		s = &state{}
+		t.engines[k] = s
+	}
+	return s
+}
+
+func (t *Table) noteHolder(h Holder) {
+	list, _ := t.chains.Get(h.Chain)
+	kept := make([]Holder, 0, holdersPerChain)
+	kept = append(kept, h)
+	for _, old := range list {
+		if old.Engine == h.Engine {
+			if old.At.After(h.At) {
+				kept[0].At = old.At
+			}
+			continue
+		}
+		if len(kept) < holdersPerChain {
+			kept = append(kept, old)
+		}
+	}
+	t.chains.Add(h.Chain, kept)
+}
+
+// failure returns the share of late requests that the engine failed, fading with time.
+func (s *state) failure(now time.Time) float64 {
+	return s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failureHalfLife.Seconds())
+}
--- /dev/null
+++ b/request/retries/retries.go
@@ -0,0 +1,90 @@
+package retries
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	// buckets divide the window; the oldest is dropped as a new one begins.
+	buckets = 10
+	// reserve is the part of the shared slack that instances leave unused, since a restarted one has forgotten what it used.
+	reserve = 0.5
+	// leastInstances is how many instances share the slack while others are not known yet.
+	leastInstances = 3
+)
+
+type (
+	// Policy is the budget of the whole fleet for each service.
+	Policy struct {
+		// Ratio is how many repeats are allowed for each request.
+		Ratio float64
+		// Slack is how many repeats are allowed beside, in each window.
+		Slack  float64
+		Window time.Duration
+	}
+
+	// Budget counts the requests and repeats of one instance by service.
+	Budget struct {
+		policy   Policy
+		mu       sync.Mutex
+		services map[ident.Service]*counts
+	}
+
+	counts struct {
+		requests, repeats [buckets]int
+		// turn is the number of the present bucket since the clock's start.
+		turn int64
+	}
+)
+
+// New returns an unused budget.
+func New(p Policy) *Budget {
+	return &Budget{policy: p, services: make(map[ident.Service]*counts)}
+}
+
+// Request notes a first send for a service.
+func (b *Budget) Request(s ident.Service, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.at(s, now)
+	c.requests[c.turn%buckets]++
+}
+
+// Take reports whether one more send is within this instance's part of the budget, and counts it where it is.
+func (b *Budget) Take(s ident.Service, instances int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.at(s, now)
+	slack := b.policy.Slack * reserve / float64(max(instances, leastInstances))
+	if float64(sum(c.repeats)+1) > b.policy.Ratio*float64(sum(c.requests))+slack {
+		return false
+	}
+	c.repeats[c.turn%buckets]++
+	return true
+}
+
+func (b *Budget) at(s ident.Service, now time.Time) *counts {
+	turn := now.UnixNano() / int64(b.policy.Window/buckets)
+	c, ok := b.services[s]
+	if !ok {
+		c = &counts{turn: turn}
+		b.services[s] = c
+	}
+	for steps := 0; c.turn < turn && steps < buckets; steps++ {
+		c.turn++
+		c.requests[c.turn%buckets], c.repeats[c.turn%buckets] = 0, 0
+	}
+	c.turn = max(c.turn, turn)
+	return c
+}
+
+func sum(list [buckets]int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/version/routing/routing.go
@@ -0,0 +1,157 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// Kinds of requests, by what may be repeated.
+const (
+	// Unrepeatable requests run at most once.
+	Unrepeatable Kind = iota
+	// Repeatable requests may run more than once.
+	Repeatable
+	// Stream requests are answered by a series of events; they are repeatable only where they can be resumed.
+	Stream
+)
+
+type (
+	// Kind says what may be repeated.
+	Kind uint8
+
+	// Version orders configurations as the operators number them.
+	Version int64
+
+	// Backend is one service that a route sends to, with its share of the traffic.
+	Backend struct {
+		Service ident.Service
+		Weight  int
+	}
+
+	// Route says how requests below a path prefix are served.
+	Route struct {
+		Name       string
+		Host       string
+		PathPrefix string
+		Kind       Kind
+		// Timeout is the longest time that a request may be kept waiting.
+		Timeout time.Duration
+		// Target is the time within which an answer begins in good time.
+		Target time.Duration
+		// TargetGap is the longest pause between events of a stream that is on time.
+		TargetGap time.Duration
+		Priority  int
+		Backends  []Backend
+		// MaxEngines is how many engines may run one request.
+		MaxEngines int
+		// Public routes need no key.
+		Public    bool
+		Resumable bool
+		// CachesPrompts says that the route's requests name the parts of their prompts.
+		CachesPrompts bool
+	}
+
+	// Organisation is a customer and its keys.
+	Organisation struct {
+		Name ident.Organisation
+		Keys []string
+	}
+
+	// Limits bound what a caller may send; zero means no bound.
+	Limits struct {
+		MaxHeaderBytes int
+		MaxBodyBytes   int64
+		IdleTimeout    time.Duration
+	}
+
+	// Configuration is one version, unchangeable once built.
+	Configuration struct {
+		Version  Version
+		Limits   Limits
+		Services map[ident.Service]Service
+		byHost   map[string][]Route
+		owners   map[[sha256.Size]byte]ident.Organisation
+	}
+
+	// Service is a group of engines that serve the same requests.
+	Service struct {
+		Name ident.Service
+		// MaxConns is how many connections one engine accepts from all callers together.
+		MaxConns int
+		// Slots is how many requests an engine processes at once, or 0 where the configuration doesn't say.
+		Slots int
+	}
+)
+
+// New returns a configuration of routes, services and organisations.
+func New(v Version, limits Limits, routes []Route, services []Service, organisations []Organisation) *Configuration {
+	c := &Configuration{
+		Version: v, Limits: limits, Services: make(map[ident.Service]Service, len(services)),
+		byHost: make(map[string][]Route), owners: make(map[[sha256.Size]byte]ident.Organisation),
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, list := range c.byHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
+	}
+	for _, o := range organisations {
+		for _, key := range o.Keys {
+			c.owners[sha256.Sum256([]byte(key))] = o.Name
+		}
+	}
+	return c
+}
+
+// Match returns the route with the longest prefix of the path at the host.
+func (c *Configuration) Match(host, path string) (*Route, bool) {
+	list := c.byHost[strings.ToLower(host)]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].PathPrefix) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
+
+// NeedsKeys reports whether requests on routes that are not public carry a key.
+func (c *Configuration) NeedsKeys() bool { return len(c.owners) > 0 }
+
+// Authenticate returns the organisation that holds the key.
+func (c *Configuration) Authenticate(key string) (ident.Organisation, bool) {
+	org, ok := c.owners[sha256.Sum256([]byte(key))]
+	return org, ok
+}
+
+// Repeatable reports whether requests of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Service returns the service for a request, the same for the same request, in proportion to the weights.
+func (r *Route) Service(id ident.Request) ident.Service {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	point := int(xxhash.Sum64String(string(id)) % uint64(total))
+	for _, b := range r.Backends {
+		if point < b.Weight {
+			return b.Service
+		}
+		point -= b.Weight
+	}
+	return ""
+}
