perf(placing): prompts stay with the engine that has read them

The log of choices shows prompts moved for small differences of load (150 tokens a running request against 600 cached), holders forgotten between instances, and sound attempts given up after 480 ms while the engine still read the prompt. Ruled out: memory of the engines (0 preempted; all parts of a site fit into one engine's memory). Change: load weighs 20 tokens a request, holders of shared parts travel in heartbeats, a single failure moves nothing, an attempt's patience follows the learnt reading rate, parts are fetched from another engine that holds them. Conclusion: affinity first; the bound on load alone decides when a prompt moves.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"golang.org/x/sync/errgroup"
 )
@@ -44,7 +45,7 @@
 		// Changes bring the receiver's replica to Revision where they fit.
 		Changes []mirror.Entry
 		Changed bool
-		Loads   map[placing.Key]int
+		Loads   map[engines.Key]int
 		Holders []Holder
 		Rumours []members.Rumour
 	}
@@ -52,7 +53,7 @@
 	// Holder is an engine that has read a chain, with the time since.
 	Holder struct {
 		Chain  placing.Chain
-		Engine placing.Key
+		Engine engines.Key
 		Age    time.Duration
 	}
 
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -25,6 +25,10 @@
 	reuseIdleOnce = 700 * time.Millisecond
 	// patienceShare is the part of its target time that a repeatable request waits at one engine.
 	patienceShare = 0.6
+	// readingFactor is how many times the likely reading time of a prompt an engine may take.
+	readingFactor = 3
+	// leastFetch is the least number of tokens for which a prompt's parts are fetched from another engine.
+	leastFetch = 64
 	// maxAnswer bounds an answer that is kept in memory until it is whole.
 	maxAnswer = 8 << 20
 )
@@ -99,7 +103,7 @@
 		result := x.attempt(ctx, choice, work, now)
 		work.End()
 		x.Log.Debug("attempt", zap.String("request", string(x.id)), zap.String("engine", string(choice.Engine.ID)), zap.Int("result", int(result)),
-			zap.Int("cached", choice.Cached), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
+			zap.Int("cached", choice.Cached), zap.Int("fetched", choice.Fetched), zap.Int("reading", choice.Reading), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
 		if result == answered {
 			return
 		}
@@ -129,12 +133,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := choice.Engine
-	patience := x.patience(now)
+	patience := x.patience(choice, now)
 	timer := time.AfterFunc(patience, cancel)
 	defer timer.Stop()
-	resp, err := x.Client.Do(ctx, e.Address, x.request(e, now), now)
+	resp, err := x.Client.Do(ctx, e.Address, x.request(choice, now), now)
 	if err != nil {
-		return x.unanswered(e, err, patience)
+		return x.unanswered(e, err)
 	}
 	x.sends++
 	defer func() { _ = resp.Body.Close() }()
@@ -154,22 +158,27 @@
 	return x.whole(resp, e, work)
 }
 
-// patience is how long an attempt may take until its first answer.
-func (x *exchange) patience(now time.Time) time.Duration {
+// patience is how long an attempt may take until its first answer: longer where the engine has much to read.
+func (x *exchange) patience(choice placing.Choice, now time.Time) time.Duration {
 	left := x.deadline.Sub(now)
 	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxEngines || x.route.Target <= 0 {
 		return left
 	}
-	return min(left, time.Duration(patienceShare*float64(x.route.Target)))
+	usual := time.Duration(patienceShare * float64(x.route.Target))
+	return min(left, max(usual, readingFactor*x.Table.ReadingTime(choice)))
 }
 
-func (x *exchange) request(e engines.Engine, now time.Time) upstream.Request {
+func (x *exchange) request(choice placing.Choice, now time.Time) upstream.Request {
+	e := choice.Engine
 	header := x.header.Clone()
 	header.Set(x.Names.Deadline, strconv.FormatInt(max(x.deadline.Sub(now).Milliseconds(), 1), 10))
 	header.Set(x.Names.Expect, string(e.ID))
 	if x.stream != nil && x.stream.last != "" {
 		header.Set(x.Names.LastEvent, x.stream.last)
 	}
+	if source, ok := x.World().Engines.Get(choice.Source); ok && choice.Fetched >= leastFetch && x.Names.FetchFrom != "" {
+		header.Set(x.Names.FetchFrom, source.Address)
+	}
 	idle := reuseIdle
 	if !x.route.Repeatable() {
 		idle = reuseIdleOnce
@@ -184,22 +193,23 @@
 }
 
 // unanswered follows an attempt without an answer.
-func (x *exchange) unanswered(e engines.Engine, err error, patience time.Duration) result {
+func (x *exchange) unanswered(e engines.Engine, err error) result {
 	now := time.Now()
 	x.reason = err.Error()
-	if x.r.Context().Err() != nil {
-		return lost
-	}
+	left := x.r.Context().Err() != nil
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
-		x.Table.Failed(e, true, now)
+		if !left {
+			x.Table.Failed(e, true, now)
+		}
 		return notRun
 	}
 	x.sends++
 	x.runs++
-	var gone *upstream.LostError
-	stale := errors.As(err, &gone) && gone.Stale
-	x.Table.Failed(e, !stale && patience > 0, now)
+	if left && x.route.Kind != routing.Unrepeatable {
+		return lost
+	}
+	x.Table.Failed(e, false, now)
 	return lost
 }
 
@@ -212,7 +222,7 @@
 		x.Table.Failed(e, false, now)
 		return lost
 	}
-	work.Started()
+	work.Started(now)
 	ok := resp.Status >= 200 && resp.Status < 300
 	if (ok && resp.Header.Get(x.Names.Seal) == "") || resp.Header.Get("Content-Encoding") != "" {
 		x.reason = "the answer is not the engine's"
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -31,6 +31,8 @@
 		// NotRun says that the engine did not run the request.
 		NotRun string
 		Load   string
+		// FetchFrom names an engine from which the engine is to copy what that one holds of the prompt.
+		FetchFrom string
 		// Reserved are fields that the fleet sets and callers may not.
 		Reserved []string
 		// ParseParts reads the parts of a prompt, and ParseLoad an engine's load.
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -43,8 +43,9 @@
 		}
 		if first {
 			first = false
-			work.Started()
-			x.Table.Answered(e, time.Now())
+			now := time.Now()
+			work.Started(now)
+			x.Table.Answered(e, now)
 		}
 		x.rearm(timer)
 		if err := x.sendEvent(resp, event); err != nil {
@@ -67,7 +68,7 @@
 	}
 	x.reason = "the stream broke off: " + err.Error()
 	if x.r.Context().Err() == nil {
-		x.Table.Failed(e, true, time.Now())
+		x.Table.Failed(e, false, time.Now())
 	}
 	return lost
 }
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -214,13 +214,15 @@
 	for pause.For(ctx, sweepPeriod) {
 		now := time.Now()
 		addresses := make(map[string]bool)
-		keys := make(map[placing.Key]bool)
-		for _, e := range n.world.Load().engines.All() {
+		list := n.world.Load().engines
+		for _, e := range list.All() {
 			addresses[e.Address] = true
-			keys[placing.KeyOf(e)] = true
 		}
 		n.client.CloseIdle(func(a string) bool { return addresses[a] }, now)
-		n.table.Forget(func(k placing.Key) bool { return keys[k] }, now)
+		n.table.Forget(func(k engines.Key) bool {
+			_, ok := list.Get(k)
+			return ok
+		}, now)
 	}
 	return ctx.Err()
 }
--- a/process/entry/world.go
+++ b/process/entry/world.go
@@ -83,7 +83,7 @@
 		list = append(list, e)
 	}
 	next.engines = engines.NewList(list)
-	n.log.Info("engines known", zap.Int("ready", next.engines.Len()), zap.Int("all", len(list)))
+	n.log.Info("engines known", zap.Int("ready", next.engines.Ready()), zap.Int("all", len(list)))
 }
 
 // logBroken logs an entry that cannot be read, once for each of its revisions.
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -13,10 +13,14 @@
 const (
 	// failureStep is the weight of one answer in the share of failures.
 	failureStep = 0.25
+	// tolerated is the share of failures that does not move requests away, since a move costs reading their prompts again.
+	tolerated = 0.3
 	// loadAllowance is how many requests above the bound an engine may hold, so that small counts don't bind.
-	loadAllowance = 1
+	loadAllowance = 2
 	// loadTokens is what one running request delays another one, in tokens of prompt read.
-	loadTokens = 150
+	loadTokens = 20
+	// fetchShare is the cost of moving a token of a prompt between engines, in tokens read.
+	fetchShare = 0.2
 	// rankTokens spreads chains that no engine holds over the engines, the same way at every instance.
 	rankTokens = 300
 	// domainTokens is the cost of another failure domain.
@@ -28,6 +32,9 @@
 	domainLoad  = 0.3
 	spreadLoad  = 0.5
 	percent     = 100
+	// rateStep is the weight of one first answer in the learnt reading rate, and rateTokens the least that tells of it.
+	rateStep   = 0.1
+	rateTokens = 1000
 )
 
 type (
@@ -45,6 +52,11 @@
 		Engine engines.Engine
 		// Cached is how many tokens of the prompt the engine is taken to hold.
 		Cached int
+		// Source is an engine that holds more of the prompt, Fetched tokens beyond Cached, or 0.
+		Source  engines.Key
+		Fetched int
+		// Reading is how many tokens the engine has to read before the first answer.
+		Reading int
 		// Load and Mean are the requests at the engine and at its service's engines on average.
 		Load int
 		Mean float64
@@ -54,8 +66,9 @@
 	// Work is one request that runs at an engine.
 	Work struct {
 		table   *Table
-		key     Key
+		key     engines.Key
 		reading int
+		begun   time.Time
 		ended   bool
 	}
 )
@@ -65,6 +78,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads, mean := t.loads(list, now)
+	known := t.longest(r.Parts, now)
+	cold := len(r.Parts) > 1 && known.tokens < tokens(r.Parts[:len(r.Parts)-1])
 	limit := t.policy.LoadBound*mean + loadAllowance
 	best := Choice{Cost: math.Inf(1)}
 	class := math.MaxInt
@@ -72,10 +87,12 @@
 		if contains(r.Tried, e.ID) {
 			continue
 		}
-		key := KeyOf(e)
-		s := t.state(key)
-		c := t.cost(e, key, s, r, loads[i], now)
+		s := t.state(e.Key)
+		c := t.cost(e, s, r, known, loads[i], now)
 		c.Mean = mean
+		if cold {
+			c.Cost += rankTokens * preference(e.Key, r.Parts)
+		}
 		rank := 0
 		if float64(loads[i]) > limit {
 			rank = 1
@@ -94,13 +111,26 @@
 }
 
 // Started notes that the engine has read the prompt.
-func (w *Work) Started() {
-	w.table.mu.Lock()
-	defer w.table.mu.Unlock()
-	w.table.state(w.key).reading -= w.reading
+func (w *Work) Started(now time.Time) {
+	t := w.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w.reading > rateTokens {
+		if took := now.Sub(w.begun).Milliseconds(); took > 0 {
+			t.rate += rateStep * (float64(w.reading)/float64(took) - t.rate)
+		}
+	}
+	t.state(w.key).reading -= w.reading
 	w.reading = 0
 }
 
+// ReadingTime returns how long an engine is likely to read before the first answer of a request placed by the choice.
+func (t *Table) ReadingTime(c Choice) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(float64(c.Reading) / t.rate * float64(time.Millisecond))
+}
+
 // End notes that the engine no longer works on the request.
 func (w *Work) End() {
 	w.table.mu.Lock()
@@ -115,13 +145,22 @@
 }
 
 func (t *Table) begin(c Choice, r Request, now time.Time) *Work {
-	key := KeyOf(c.Engine)
-	w := &Work{table: t, key: key, reading: tokens(r.Parts) - c.Cached}
+	key := c.Engine.Key
+	w := &Work{table: t, key: key, reading: tokens(r.Parts) - c.Cached - c.Fetched, begun: now}
 	s := t.state(key)
 	s.running++
 	s.reading += w.reading
-	for _, p := range r.Parts {
-		t.noteHolder(Holder{Chain: p.Chain, Engine: key, At: now})
+	for i, p := range r.Parts {
+		h := Holder{Chain: p.Chain, Engine: key, At: now}
+		_, seen := t.chains.Peek(p.Chain)
+		t.noteHolder(h)
+		// The last part belongs to the request alone until it comes again.
+		if i < len(r.Parts)-1 || seen {
+			t.recent = append(t.recent, h)
+		}
+	}
+	if over := len(t.recent) - maxRecent; over > 0 {
+		t.recent = append(t.recent[:0], t.recent[over:]...)
 	}
 	return w
 }
@@ -131,7 +170,7 @@
 	loads := make([]int, len(list))
 	sum := 0
 	for i, e := range list {
-		key := KeyOf(e)
+		key := e.Key
 		s := t.state(key)
 		n := s.running
 		for _, r := range t.remote {
@@ -148,7 +187,7 @@
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
-func (t *Table) cost(e engines.Engine, key Key, s *state, r Request, load int, now time.Time) Choice {
+func (t *Table) cost(e engines.Engine, s *state, r Request, known held, load int, now time.Time) Choice {
 	c := Choice{Engine: e, Load: load}
 	slow := 1.0
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < reportLife {
@@ -158,19 +197,47 @@
 	if e.Domain != r.Domain {
 		away = 1
 	}
+	failing := max(s.failure(now)-tolerated, 0)
 	if len(r.Parts) == 0 {
 		c.Cost = slow*float64(load) + failureLoad*s.failure(now) + domainLoad*away + spreadLoad*rand.Float64()
 		return c
 	}
-	c.Cached = t.cached(key, r.Parts, now)
-	work := float64(tokens(r.Parts)-c.Cached+s.reading) + loadTokens*float64(load)
-	c.Cost = slow*work + failureTokens*s.failure(now) + domainTokens*away + rankTokens*preference(key, r.Parts)
+	c.Cached = t.cached(e.Key, r.Parts, now)
+	if known.tokens > c.Cached {
+		c.Source, c.Fetched = known.engine, known.tokens-c.Cached
+	}
+	c.Reading = tokens(r.Parts) - c.Cached - c.Fetched + s.reading
+	work := float64(c.Reading) + fetchShare*float64(c.Fetched) + loadTokens*float64(load)
+	c.Cost = slow*work + failureTokens*failing + domainTokens*away
 	return c
 }
 
+// held is an engine with how many tokens of a prompt it holds.
+type held struct {
+	engine engines.Key
+	tokens int
+}
+
+// longest returns the engine that is known to hold the most of a prompt, the latest one of equals.
+func (t *Table) longest(parts []Part, now time.Time) held {
+	best := held{}
+	for i := len(parts) - 1; i >= 0; i-- {
+		holders, _ := t.chains.Peek(parts[i].Chain)
+		for _, h := range holders {
+			if n := t.cached(h.Engine, parts, now); n > best.tokens {
+				best = held{engine: h.Engine, tokens: n}
+			}
+		}
+		if best.tokens > 0 {
+			return best
+		}
+	}
+	return best
+}
+
 // cached returns how many tokens at the beginning of the prompt the engine is taken to hold.
-func (t *Table) cached(key Key, parts []Part, now time.Time) int {
-	held := 0
+func (t *Table) cached(key engines.Key, parts []Part, now time.Time) int {
+	n := 0
 	for _, p := range parts {
 		holders, _ := t.chains.Peek(p.Chain)
 		found := false
@@ -180,13 +247,13 @@
 		if !found {
 			break
 		}
-		held += p.Tokens
+		n += p.Tokens
 	}
-	return held
+	return n
 }
 
 // preference returns a number from 0 to 10 that is the same at every instance for an engine and a prompt, leaving the request's own part out.
-func preference(key Key, parts []Part) float64 {
+func preference(key engines.Key, parts []Part) float64 {
 	chain := parts[max(len(parts)-2, 0)].Chain
 	var raw [8]byte
 	for i := range 4 {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -15,7 +15,11 @@
 	// maxChains bounds how many chains of prompt parts are remembered.
 	maxChains = 8192
 	// holdersPerChain is how many engines are remembered for a chain.
-	holdersPerChain = 3
+	holdersPerChain = 4
+	// maxRecent bounds the holders that wait to be told to other instances.
+	maxRecent = 64
+	// firstRate is the reading rate of prompts, in tokens a millisecond, until one was measured.
+	firstRate = 20
 	// holderLife is how long an engine is taken to hold what it has read.
 	holderLife = 60 * time.Second
 	// remoteLife is how long the count of another instance is believed.
@@ -29,9 +33,6 @@
 )
 
 type (
-	// Key identifies one incarnation of an engine between instances.
-	Key uint32
-
 	// Chain identifies the beginning of a prompt up to a part.
 	Chain uint32
 
@@ -44,7 +45,7 @@
 	// Holder is an engine that has read a chain.
 	Holder struct {
 		Chain  Chain
-		Engine Key
+		Engine engines.Key
 		At     time.Time
 	}
 
@@ -59,9 +60,13 @@
 	Table struct {
 		mu      sync.Mutex
 		policy  Policy
-		engines map[Key]*state
+		engines map[engines.Key]*state
 		remote  map[string]remote
 		chains  *simplelru.LRU[Chain, []Holder]
+		// recent are the holders that this instance has noted itself, oldest first.
+		recent []Holder
+		// rate is how many tokens of a prompt engines read in a millisecond, learnt from first answers.
+		rate float64
 	}
 
 	// Policy bounds what a choice may do.
@@ -84,7 +89,7 @@
 	}
 
 	remote struct {
-		loads map[Key]int
+		loads map[engines.Key]int
 		at    time.Time
 	}
 )
@@ -95,17 +100,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Table{policy: p, engines: make(map[Key]*state), remote: make(map[string]remote), chains: chains}
-}
-
-// KeyOf returns the key of an engine's incarnation.
-func KeyOf(e engines.Engine) Key {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(e.ID))
-	for shift := 0; shift < 64; shift += 8 {
-		_, _ = d.Write([]byte{byte(e.Born >> shift)})
-	}
-	return Key(d.Sum64())
+	return &Table{policy: p, engines: make(map[engines.Key]*state), remote: make(map[string]remote), chains: chains, rate: firstRate}
 }
 
 // Chains returns the parts of a prompt with the chain that each ends.
@@ -121,10 +116,10 @@
 }
 
 // Loads returns how many requests of this instance run at each engine.
-func (t *Table) Loads() map[Key]int {
+func (t *Table) Loads() map[engines.Key]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	loads := make(map[Key]int)
+	loads := make(map[engines.Key]int)
 	for k, s := range t.engines {
 		if s.running > 0 {
 			loads[k] = s.running
@@ -134,7 +129,7 @@
 }
 
 // NoteLoads takes the counts of another instance.
-func (t *Table) NoteLoads(instance string, loads map[Key]int, now time.Time) {
+func (t *Table) NoteLoads(instance string, loads map[engines.Key]int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remote[instance] = remote{loads: loads, at: now}
@@ -149,19 +144,13 @@
 	}
 }
 
-// Recent returns the chains that were read or used since a time, newest last, at most limit of them.
+// Recent returns what this instance has noted since a time, newest first, at most limit of them.
 func (t *Table) Recent(since time.Time, limit int) []Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Holder
-	keys := t.chains.Keys()
-	for i := len(keys) - 1; i >= 0 && len(list) < limit; i-- {
-		holders, _ := t.chains.Peek(keys[i])
-		for _, h := range holders {
-			if h.At.After(since) && len(list) < limit {
-				list = append(list, h)
-			}
-		}
+	for i := len(t.recent) - 1; i >= 0 && len(list) < limit && t.recent[i].At.After(since); i-- {
+		list = append(list, t.recent[i])
 	}
 	return list
 }
@@ -170,7 +159,7 @@
 func (t *Table) NoteReport(e engines.Engine, r Report, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(KeyOf(e))
+	s := t.state(e.Key)
 	s.report, s.reportedAt = r, now
 }
 
@@ -178,7 +167,7 @@
 func (t *Table) Failed(e engines.Engine, unreachable bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(KeyOf(e))
+	s := t.state(e.Key)
 	s.failing = s.failure(now) + (1-s.failure(now))*failureStep
 	s.failedAt = now
 	if unreachable && now.After(s.heldUntil) {
@@ -191,7 +180,7 @@
 func (t *Table) Answered(e engines.Engine, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(KeyOf(e))
+	s := t.state(e.Key)
 	s.failing = s.failure(now) * (1 - failureStep)
 	s.failedAt = now
 	s.hold = 0
@@ -200,7 +189,7 @@
 }
 
 // Forget drops what is known of engines and instances that are gone.
-func (t *Table) Forget(known func(Key) bool, now time.Time) {
+func (t *Table) Forget(known func(engines.Key) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, s := range t.engines {
@@ -215,7 +204,7 @@
 	}
 }
 
-func (t *Table) state(k Key) *state {
+func (t *Table) state(k engines.Key) *state {
 	s, ok := t.engines[k]
 	if !ok {
 		s = &state{}
--- a/version/engines/engines.go
+++ b/version/engines/engines.go
@@ -1,10 +1,16 @@
 package engines
 
 import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 	"github.com/vanillaroute/vanillaroute/ident"
 )
 
 type (
+	// Key identifies one incarnation of an engine between instances.
+	Key uint32
+
 	// Engine is one incarnation of an engine that takes requests of a service.
 	Engine struct {
 		ID      ident.Engine
@@ -17,45 +23,54 @@
 		Draining bool
 		// Born tells one start of the engine from the next, in milliseconds since the epoch, or 0 where it is not known.
 		Born int64
+		// Key is set by NewList.
+		Key Key
 	}
 
-	// List is the engines of one moment by service, draining ones left out.
+	// List is the engines of one moment.
 	List struct {
+		// services holds the engines that take new requests.
 		services map[ident.Service][]Engine
-		byID     map[ident.Engine]Engine
+		byKey    map[Key]Engine
+		ready    int
 	}
 )
 
-// NewList returns the list of the engines that take new requests.
+// NewList returns the list of all registered engines.
 func NewList(all []Engine) *List {
-	l := &List{services: make(map[ident.Service][]Engine), byID: make(map[ident.Engine]Engine)}
+	l := &List{services: make(map[ident.Service][]Engine), byKey: make(map[Key]Engine, len(all))}
 	for _, e := range all {
-		if e.Draining {
-			continue
+		e.Key = keyOf(e)
+		l.byKey[e.Key] = e
+		if !e.Draining {
+			l.services[e.Service] = append(l.services[e.Service], e)
+			l.ready++
 		}
-		l.services[e.Service] = append(l.services[e.Service], e)
-		l.byID[e.ID] = e
 	}
 	return l
 }
 
-// Of returns the engines of a service.
+// Of returns the engines of a service that take new requests.
 func (l *List) Of(s ident.Service) []Engine { return l.services[s] }
 
-// Has reports whether the same incarnation of an engine takes new requests.
-func (l *List) Has(e Engine) bool {
-	now, ok := l.byID[e.ID]
-	return ok && now.Born == e.Born && now.Address == e.Address
+// Get returns an engine, draining ones included.
+func (l *List) Get(k Key) (Engine, bool) {
+	e, ok := l.byKey[k]
+	return e, ok
 }
 
-// Len returns how many engines take new requests.
-func (l *List) Len() int { return len(l.byID) }
+// Ready returns how many engines take new requests.
+func (l *List) Ready() int { return l.ready }
 
-// All returns the engines that take new requests, in no order.
+// All returns all engines, draining ones included, in no order.
 func (l *List) All() []Engine {
-	all := make([]Engine, 0, len(l.byID))
-	for _, e := range l.byID {
+	all := make([]Engine, 0, len(l.byKey))
+	for _, e := range l.byKey {
 		all = append(all, e)
 	}
 	return all
 }
+
+func keyOf(e Engine) Key {
+	return Key(xxhash.Sum64String(string(e.ID) + "/" + strconv.FormatInt(e.Born, 10)))
+}
