fix(placing): an engine that holds a part of a prompt holds those before it

Ruled out: lost heartbeats (the holder was known). Change: the longest known part decides; engines that are gone count no more. Engines get 100 ms beyond the deadline to answer it themselves.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -25,6 +25,8 @@
 	reuseIdleOnce = 700 * time.Millisecond
 	// patienceShare is the part of its target time that a repeatable request waits at one engine.
 	patienceShare = 0.6
+	// answerGrace is left to an engine's own answer at the deadline that it was given.
+	answerGrace = 100 * time.Millisecond
 	// readingFactor is how many times the likely reading time of a prompt an engine may take.
 	readingFactor = 3
 	// leastFetch is the least number of tokens for which a prompt's parts are fetched from another engine.
@@ -87,7 +89,7 @@
 		// An engine that has begun finishes the work, also where the caller has left.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(answerGrace))
 	defer cancel()
 	for {
 		now := time.Now()
@@ -95,7 +97,7 @@
 		if ctx.Err() != nil || !x.mayContinue(world, now) {
 			break
 		}
-		choice, work, ok := x.Table.Choose(world.Engines.Of(x.service), placing.Request{Parts: x.parts, Domain: x.Domain, Tried: x.tried}, now)
+		choice, work, ok := x.Table.Choose(world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: x.tried}, now)
 		if !ok {
 			x.reason = "no engine is left"
 			break
@@ -103,7 +105,7 @@
 		result := x.attempt(ctx, choice, work, now)
 		work.End()
 		x.Log.Debug("attempt", zap.String("request", string(x.id)), zap.String("engine", string(choice.Engine.ID)), zap.Int("result", int(result)),
-			zap.Int("cached", choice.Cached), zap.Int("fetched", choice.Fetched), zap.Int("reading", choice.Reading), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
+			zap.Int("cached", choice.Cached), zap.Int("fetched", choice.Fetched), zap.Int("reading", choice.Reading), zap.Any("parts", x.parts), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
 		if result == answered {
 			return
 		}
@@ -160,7 +162,7 @@
 
 // patience is how long an attempt may take until its first answer: longer where the engine has much to read.
 func (x *exchange) patience(choice placing.Choice, now time.Time) time.Duration {
-	left := x.deadline.Sub(now)
+	left := x.deadline.Add(answerGrace).Sub(now)
 	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxEngines || x.route.Target <= 0 {
 		return left
 	}
@@ -275,7 +277,7 @@
 	switch {
 	case x.runs == 0:
 		no.status, no.after = http.StatusServiceUnavailable, retryLater
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
 		no.status = http.StatusGatewayTimeout
 	}
 	x.log("refused", no.status)
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -40,6 +40,7 @@
 type (
 	// Request is what a choice is made for.
 	Request struct {
+		Service ident.Service
 		// Parts are the parts of the prompt; empty for requests of plain services.
 		Parts  []Part
 		Domain ident.Domain
@@ -74,11 +75,12 @@
 )
 
 // Choose returns the engine of the least cost, and counts the request there; it reports false where there is no engine left to try.
-func (t *Table) Choose(list []engines.Engine, r Request, now time.Time) (Choice, *Work, bool) {
+func (t *Table) Choose(all *engines.List, r Request, now time.Time) (Choice, *Work, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	list := all.Of(r.Service)
 	loads, mean := t.loads(list, now)
-	known := t.longest(r.Parts, now)
+	known := t.longest(all, r.Parts, now)
 	cold := len(r.Parts) > 1 && known.tokens < tokens(r.Parts[:len(r.Parts)-1])
 	limit := t.policy.LoadBound*mean + loadAllowance
 	best := Choice{Cost: math.Inf(1)}
@@ -219,37 +221,33 @@
 }
 
 // longest returns the engine that is known to hold the most of a prompt, the latest one of equals.
-func (t *Table) longest(parts []Part, now time.Time) held {
-	best := held{}
+func (t *Table) longest(all *engines.List, parts []Part, now time.Time) held {
+	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
 		holders, _ := t.chains.Peek(parts[i].Chain)
 		for _, h := range holders {
-			if n := t.cached(h.Engine, parts, now); n > best.tokens {
-				best = held{engine: h.Engine, tokens: n}
+			if _, ok := all.Get(h.Engine); ok && now.Sub(h.At) < holderLife {
+				return held{engine: h.Engine, tokens: sum}
 			}
 		}
-		if best.tokens > 0 {
-			return best
-		}
+		sum -= parts[i].Tokens
 	}
-	return best
+	return held{}
 }
 
-// cached returns how many tokens at the beginning of the prompt the engine is taken to hold.
+// cached returns how many tokens at the beginning of the prompt the engine is taken to hold; one that holds a part holds those before it.
 func (t *Table) cached(key engines.Key, parts []Part, now time.Time) int {
-	n := 0
-	for _, p := range parts {
-		holders, _ := t.chains.Peek(p.Chain)
-		found := false
+	sum := tokens(parts)
+	for i := len(parts) - 1; i >= 0; i-- {
+		holders, _ := t.chains.Peek(parts[i].Chain)
 		for _, h := range holders {
-			found = found || (h.Engine == key && now.Sub(h.At) < holderLife)
-		}
-		if !found {
-			break
+			if h.Engine == key && now.Sub(h.At) < holderLife {
+				return sum
+			}
 		}
-		n += p.Tokens
+		sum -= parts[i].Tokens
 	}
-	return n
+	return 0
 }
 
 // preference returns a number from 0 to 10 that is the same at every instance for an engine and a prompt, leaving the request's own part out.
