--- /dev/null
+++ b/connection/forward/forward_test.go
@@ -0,0 +1,477 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/request/retries"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+	"go.uber.org/zap"
+)
+
+const (
+	key     = "key-one"
+	service = ident.Service("s")
+)
+
+var testNames = Names{
+	RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", Parts: "X-Parts", LastEvent: "X-Last", Organisation: "X-Organisation",
+	Expect: "X-Expect", Seal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", FetchFrom: "X-Fetch", Reserved: []string{"X-Expect", "X-Fetch", "X-Reserved"},
+	ParseParts: func(s string) ([]string, []int) { return []string{s}, []int{100} },
+	ParseLoad:  func(string) (placing.Report, bool) { return placing.Report{}, false },
+}
+
+type (
+	// fixture is a handler before fake engines.
+	fixture struct {
+		front  *httptest.Server
+		runs   atomic.Int32
+		mu     sync.Mutex
+		heads  []http.Header
+		bodies []string
+		age    atomic.Int64
+	}
+
+	// fakeEngine answers the n-th request of the whole fixture.
+	fakeEngine func(n int, w http.ResponseWriter, r *http.Request)
+)
+
+func newFixture(t *testing.T, route routing.Route, engine fakeEngine) *fixture {
+	t.Helper()
+	f := &fixture{}
+	var all []engines.Engine
+	for i := range 3 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			f.mu.Lock()
+			f.heads = append(f.heads, r.Header.Clone())
+			f.bodies = append(f.bodies, string(body))
+			f.mu.Unlock()
+			w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+			engine(int(f.runs.Add(1)), w, r)
+		}))
+		t.Cleanup(server.Close)
+		all = append(all, engines.Engine{ID: ident.Engine(fmt.Sprint("e", i)), Service: service, Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	route.Host, route.PathPrefix, route.Backends = "h.example", "/p/", []routing.Backend{{Service: service, Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 2 * time.Second
+	}
+	route.MaxEngines = max(route.MaxEngines, 1)
+	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, nil, []routing.Organisation{{Name: "museum", Keys: []string{key}}})
+	list := engines.NewList(all)
+	h := New(Parts{
+		Names: testNames, Limits: Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second}, Table: placing.New(placing.Policy{LoadBound: 1.5}),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Log: zap.NewNop(),
+		World: func() World {
+			return World{Configuration: configuration, Engines: list, ProofAge: time.Duration(f.age.Load()), Instances: 3}
+		},
+		Closing: func() bool { return false },
+	})
+	f.front = httptest.NewServer(h)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+func (f *fixture) send(t *testing.T, change func(*http.Request)) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.front.URL+"/p/x%2Fy?q=1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set(testNames.RequestID, "r1")
+	req.Header.Set(testNames.Deadline, "1500")
+	if change != nil {
+		change(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func good(w http.ResponseWriter, body string) {
+	w.Header().Set(testNames.Seal, "seal")
+	_, _ = io.WriteString(w, body)
+}
+
+func notExecuted(w http.ResponseWriter) {
+	w.Header().Set(testNames.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func reset() { panic(http.ErrAbortHandler) }
+
+// TestFailuresByKind checks what callers get, and how often engines run a request, for each kind of request and failure.
+func TestFailuresByKind(t *testing.T) {
+	once := routing.Route{Kind: routing.Unrepeatable}
+	many := routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}
+	tests := []struct {
+		name   string
+		route  routing.Route
+		engine fakeEngine
+		status int
+		sends  int32
+	}{
+		{"good answer", once, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") }, 200, 1},
+		{"not executed once", once, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				notExecuted(w)
+				return
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"not executed anywhere is a true refusal", once, func(_ int, w http.ResponseWriter, _ *http.Request) { notExecuted(w) }, 503, 3},
+		{"another instance at the address", once, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"unrepeatable and reset", once, func(int, http.ResponseWriter, *http.Request) { reset() }, 502, 1},
+		{"unrepeatable and a 503 that promises nothing", once, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testNames.Seal, "seal")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, 502, 1},
+		{"unrepeatable after not executed, then reset", once, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				notExecuted(w)
+				return
+			}
+			reset()
+		}, 502, 2},
+		{"repeatable and reset once", many, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				reset()
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"repeatable and failing once", many, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.Header().Set(testNames.Seal, "seal")
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"repeatable and always failing", many, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testNames.Seal, "seal")
+			w.WriteHeader(http.StatusInternalServerError)
+		}, 500, 2},
+		{"a success without the engine's mark", many, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				_, _ = io.WriteString(w, "forged")
+				return
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"an encoded body", many, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.Header().Set("Content-Encoding", "gzip")
+			}
+			good(w, "ok")
+		}, 200, 2},
+		{"the engine's own no is passed on", many, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testNames.Seal, "seal")
+			w.WriteHeader(http.StatusUnprocessableEntity)
+		}, 422, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, tt.route, tt.engine)
+			resp, body, err := f.send(t, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || f.runs.Load() != tt.sends {
+				t.Fatalf("status %d after %d sends, want %d after %d; body %q", resp.StatusCode, f.runs.Load(), tt.status, tt.sends, body)
+			}
+			if tt.status == 200 && (body != "ok" || resp.Header.Get(testNames.Seal) != "seal") {
+				t.Fatalf("body %q, seal %q", body, resp.Header.Get(testNames.Seal))
+			}
+			if tt.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Fatal("a refusal without a time to come back")
+			}
+			if tt.status == 502 && resp.Header.Get(testNames.Seal) != "" {
+				t.Fatal("a failure of ours bears the engine's mark")
+			}
+		})
+	}
+}
+
+// TestUnrepeatableRequestRunsOnceThoughItsCallerLeft: the caller leaves, and then the engine crashes.
+func TestUnrepeatableRequestRunsOnceThoughItsCallerLeft(t *testing.T) {
+	f := newFixture(t, routing.Route{Kind: routing.Unrepeatable}, func(int, http.ResponseWriter, *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		reset()
+	})
+	_, _, err := f.send(t, func(r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	})
+	if err == nil {
+		t.Fatal("the caller did not leave")
+	}
+	time.Sleep(400 * time.Millisecond)
+	if n := f.runs.Load(); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestRepeatableWorkEndsWhenItsCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	f := newFixture(t, routing.Route{Kind: routing.Repeatable, MaxEngines: 2}, func(_ int, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	_, _, _ = f.send(t, func(r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	})
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the engine still works")
+	}
+	if n := f.runs.Load(); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func events(w http.ResponseWriter, from, to int) {
+	w.Header().Set(testNames.Seal, "seal")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func TestStreams(t *testing.T) {
+	const last = 6
+	resumable := routing.Route{Kind: routing.Stream, Resumable: true, MaxEngines: 2, Target: time.Second, TargetGap: 100 * time.Millisecond}
+	single := routing.Route{Kind: routing.Stream, MaxEngines: 1, Target: time.Second}
+	resume := func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get(testNames.LastEvent))
+		events(w, from+1, last)
+	}
+	tests := []struct {
+		name   string
+		route  routing.Route
+		engine fakeEngine
+		whole  bool
+		sends  int32
+	}{
+		{"whole", single, func(_ int, w http.ResponseWriter, _ *http.Request) { events(w, 1, last) }, true, 1},
+		{"cut between events and resumed", resumable, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				events(w, 1, 3)
+				reset()
+			}
+			resume(w, r)
+		}, true, 2},
+		{"cut within an event and resumed", resumable, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				events(w, 1, 3)
+				_, _ = io.WriteString(w, "id: 4\nda")
+				reset()
+			}
+			resume(w, r)
+		}, true, 2},
+		{"ended within an event and resumed", resumable, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				events(w, 1, 3)
+				_, _ = io.WriteString(w, "id: 4\nda")
+				return
+			}
+			resume(w, r)
+		}, true, 2},
+		{"silent and resumed", resumable, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				events(w, 1, 3)
+				<-r.Context().Done()
+				return
+			}
+			resume(w, r)
+		}, true, 2},
+		{"cut for good", resumable, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			events(w, 1, 3)
+			reset()
+		}, false, 2},
+		{"cut, and begun again by an engine that cannot resume", resumable, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				events(w, 1, 3)
+				reset()
+			}
+			events(w, 1, last)
+		}, false, 2},
+		{"cut and not resumable", single, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			events(w, 1, 3)
+			reset()
+		}, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, tt.route, tt.engine)
+			resp, body, err := f.send(t, nil)
+			if resp == nil {
+				t.Fatal(err)
+			}
+			if (err == nil) != tt.whole {
+				t.Fatalf("whole is %v, want %v: %q, %v", err == nil, tt.whole, body, err)
+			}
+			if tt.whole && strings.Count(body, "data:") != last {
+				t.Fatalf("got %q", body)
+			}
+			var want bytes.Buffer
+			for i := 1; i <= strings.Count(body, "\n\n"); i++ {
+				fmt.Fprintf(&want, "id: %d\ndata: e%d\n\n", i, i)
+			}
+			if body != want.String() {
+				t.Fatalf("events are not in order: %q", body)
+			}
+			if n := f.runs.Load(); n != tt.sends {
+				t.Fatalf("%d sends, want %d", n, tt.sends)
+			}
+		})
+	}
+}
+
+func TestEnginesGetWhatTheCallerSentAndNoMore(t *testing.T) {
+	f := newFixture(t, routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, r *http.Request) { good(w, r.RequestURI) })
+	_, body, err := f.send(t, func(r *http.Request) {
+		r.Header.Set("X-Other", "kept")
+		r.Header.Set("X-Reserved", "forged")
+		r.Header.Set("X-Expect", "forged")
+		r.Header.Set("X-Organisation", "forged")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "hop")
+	})
+	if err != nil || body != "/p/x%2Fy?q=1" {
+		t.Fatalf("the engine got the target %q, %v", body, err)
+	}
+	head := f.heads[0]
+	tests := []struct{ name, want string }{
+		{"X-Other", "kept"}, {"X-Reserved", ""}, {"X-Organisation", "museum"}, {"Authorization", ""}, {"X-Hop", ""}, {"X-Request", "r1"},
+	}
+	for _, tt := range tests {
+		if got := head.Get(tt.name); got != tt.want {
+			t.Errorf("%s is %q, want %q", tt.name, got, tt.want)
+		}
+	}
+	if !strings.HasPrefix(head.Get("X-Expect"), "e") {
+		t.Errorf("the engine expected is %q", head.Get("X-Expect"))
+	}
+	if ms, err := strconv.Atoi(head.Get("X-Deadline")); err != nil || ms > 1500 || ms < 1000 {
+		t.Errorf("the engine's deadline is %q", head.Get("X-Deadline"))
+	}
+	if f.bodies[0] != "body" {
+		t.Errorf("body %q", f.bodies[0])
+	}
+}
+
+// TestAdmission checks who is served by the age of the configuration.
+func TestAdmission(t *testing.T) {
+	tests := []struct {
+		name   string
+		age    time.Duration
+		key    string
+		path   string
+		status int
+	}{
+		{"known key", 0, key, "/p/", 200},
+		{"known key, nearly too old", 3900 * time.Millisecond, key, "/p/", 200},
+		{"known key, too old", 4100 * time.Millisecond, key, "/p/", 503},
+		{"unknown key", 0, "other", "/p/", 401},
+		{"unknown key, may be new", 3100 * time.Millisecond, "other", "/p/", 503},
+		{"unknown route", 0, key, "/q/", 404},
+		{"unknown route, may be new", 3100 * time.Millisecond, key, "/q/", 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") })
+			f.age.Store(int64(tt.age))
+			resp, _, err := f.send(t, func(r *http.Request) {
+				r.Header.Set("Authorization", "Bearer "+tt.key)
+				r.URL.Path, r.URL.RawPath = tt.path, ""
+			})
+			if err != nil || resp.StatusCode != tt.status {
+				t.Fatalf("got %v, %v, want %d", resp, err, tt.status)
+			}
+			if tt.status != 200 && f.runs.Load() != 0 {
+				t.Fatal("a refused request reached an engine")
+			}
+		})
+	}
+}
+
+func TestLargeBodiesAreRefused(t *testing.T) {
+	f := newFixture(t, routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") })
+	for _, chunked := range []bool{false, true} {
+		resp, _, err := f.send(t, func(r *http.Request) {
+			r.Body = io.NopCloser(bytes.NewReader(make([]byte, 2000)))
+			r.ContentLength = 2000
+			if chunked {
+				r.ContentLength = -1
+			}
+		})
+		if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Fatalf("chunked %v: got %v, %v", chunked, resp, err)
+		}
+	}
+}
+
+func TestTimeoutIsAnsweredInTime(t *testing.T) {
+	f := newFixture(t, routing.Route{Kind: routing.Unrepeatable, Timeout: 200 * time.Millisecond}, func(_ int, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	began := time.Now()
+	resp, _, err := f.send(t, nil)
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if took := time.Since(began); took > 700*time.Millisecond {
+		t.Fatalf("answered after %s", took)
+	}
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\ndata"))
+	f.Add([]byte("\r\n\r\n:comment\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		var all []byte
+		for {
+			event, err := readEvent(r)
+			all = append(all, event...)
+			eventID(event)
+			if err != nil {
+				break
+			}
+		}
+		if !bytes.Equal(all, data) {
+			t.Fatalf("read %q of %q", all, data)
+		}
+	})
+}
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,20 @@
 	last string
 }
 
+// follows reports whether an event comes after the last one; ids increase, where they are numbers.
+func (s *stream) follows(event []byte) bool {
+	if s == nil || s.last == "" {
+		return true
+	}
+	id, ok := eventID(event)
+	if !ok {
+		return true
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(s.last, 10, 64)
+	return err != nil || lastErr != nil || next > last
+}
+
 // relay passes events on as they come; a stream that breaks off is lost after its last whole event.
 func (x *exchange) relay(resp *upstream.Response, e engines.Engine, work *placing.Work, timer *time.Timer) result {
 	if resp.Header.Get(x.Names.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
@@ -47,6 +62,9 @@
 			work.Started(now)
 			x.Table.Answered(e, now)
 		}
+		if !x.stream.follows(event) {
+			return x.streamEnded(errors.New("the engine sent an event again"), len(event), e)
+		}
 		x.rearm(timer)
 		if err := x.sendEvent(resp, event); err != nil {
 			x.reason = "the caller left"
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -37,15 +37,11 @@
 // readStore reads the store while this instance is to do so for all.
 func (n *Node) readStore(ctx context.Context) error {
 	failures := 0
-	last := time.Now()
-	lastTry := last
 	for ctx.Err() == nil {
-		now := time.Now()
-		if !n.isToRead(now.Sub(lastTry)) {
+		if !n.isToRead() {
 			pause.For(ctx, checkPeriod)
 			continue
 		}
-		lastTry = now
 		if err := n.readOnce(ctx); err != nil {
 			if failures == 0 && ctx.Err() == nil {
 				n.log.Warn("store lost", zap.Error(err))
@@ -66,7 +62,7 @@
 }
 
 // isToRead reports whether this instance reads the store now.
-func (n *Node) isToRead(sinceLast time.Duration) bool {
+func (n *Node) isToRead() bool {
 	now := boottime.Now()
 	age := n.proofAge(now)
 	if age == beat.Unproven {
@@ -85,7 +81,7 @@
 			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
 		}
 	}
-	return readers.Chosen(n.self, all) || readers.Helps(age, sinceLast, len(alive)+1, rand.Float64())
+	return readers.Chosen(n.self, all) || readers.Helps(age, checkPeriod, len(alive)+1, rand.Float64())
 }
 
 // readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
--- /dev/null
+++ b/process/members/members_test.go
@@ -0,0 +1,72 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+)
+
+const start = boottime.Instant(time.Hour)
+
+func hear(t *Table, peer string, state State, incarnation ident.Incarnation, at boottime.Instant) bool {
+	return t.Hear(Member{Peer: peer, Callers: "c" + peer, State: state, Incarnation: incarnation, Heard: at})
+}
+
+func TestSilentInstancesAreNotAlive(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration
+		rumour time.Duration
+		want   int
+	}{
+		{"just heard", 0, 0, 1},
+		{"silent", DeadAfter, 0, 0},
+		{"silent here, heard by another", DeadAfter, DeadAfter / 2, 1},
+		{"silent for both", 3 * DeadAfter, 2 * DeadAfter, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := New()
+			hear(m, "a", Ready, 1, start)
+			now := start.Add(tt.after)
+			if tt.rumour > 0 {
+				m.HeardBy([]Rumour{{Peer: "a", Age: tt.rumour}}, now)
+			}
+			if got := len(m.Alive(now)); got != tt.want {
+				t.Fatalf("%d alive, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestWordOfAnEarlierLifeIsNotTaken(t *testing.T) {
+	m := New()
+	hear(m, "a", Ready, 2, start)
+	if hear(m, "a", Stopping, 1, start.Add(time.Millisecond)) {
+		t.Fatal("a message of an earlier life is news")
+	}
+	if got := m.Alive(start)[0].State; got != Ready {
+		t.Fatalf("state is %d", got)
+	}
+}
+
+func TestRumoursAloneDoNotMakeAnInstanceAlive(t *testing.T) {
+	m := New()
+	m.HeardBy([]Rumour{{Peer: "a"}}, start)
+	if len(m.Alive(start)) != 0 {
+		t.Fatal("an instance of unknown address for callers counts as alive")
+	}
+	if len(m.All(start)) != 1 {
+		t.Fatal("the instance is not asked")
+	}
+}
+
+func TestLongSilentInstancesAreForgotten(t *testing.T) {
+	m := New()
+	hear(m, "a", Ready, 1, start)
+	if len(m.All(start.Add(forgetAfter+time.Second))) != 0 {
+		t.Fatal("still known")
+	}
+}
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -1,6 +1,8 @@
 package readers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,42 +33,25 @@
 	var chosen []string
 	for _, pass := range []bool{true, false} {
 		for _, i := range order {
-			if len(chosen) >= Count || (pass && taken[i.Domain]) || has(chosen, i.Peer) {
+			if len(chosen) >= Count || (pass && taken[i.Domain]) || slices.Contains(chosen, i.Peer) {
 				continue
 			}
 			taken[i.Domain] = true
 			chosen = append(chosen, i.Peer)
 		}
 	}
-	return has(chosen, self)
+	return slices.Contains(chosen, self)
 }
 
-// Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; draw is a random number from 0 to 1.
-func Helps(proofAge, sinceLast time.Duration, instances int, draw float64) bool {
-	if proofAge < helpAfter {
-		return false
-	}
-	pause := helpEvery * time.Duration(max(instances, 1))
-	return sinceLast > time.Duration((0.5+draw)*float64(pause))
+// Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; it is asked every step, with a random number from 0 to 1.
+func Helps(proofAge, step time.Duration, instances int, draw float64) bool {
+	return proofAge >= helpAfter && draw < float64(step)/float64(helpEvery*time.Duration(max(instances, 1)))
 }
 
 func ranked(all []Instance) []Instance {
-	order := append([]Instance(nil), all...)
-	for i := 1; i < len(order); i++ {
-		for j := i; j > 0 && weight(order[j]) < weight(order[j-1]); j-- {
-			order[j], order[j-1] = order[j-1], order[j]
-		}
-	}
+	order := slices.Clone(all)
+	slices.SortFunc(order, func(a, b Instance) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Peer, b.Peer)) })
 	return order
 }
 
 func weight(i Instance) uint64 { return xxhash.Sum64String(i.Peer) }
-
-func has(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/process/readers/readers_test.go
@@ -0,0 +1,69 @@
+package readers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+func fleet(size, domains int) []Instance {
+	var all []Instance
+	for i := range size {
+		all = append(all, Instance{Peer: fmt.Sprintf("10.0.%d.%d:7000", i%domains, i), Domain: ident.Domain(fmt.Sprintf("d%d", i%domains))})
+	}
+	return all
+}
+
+func TestChosenIsTheSameEverywhere(t *testing.T) {
+	tests := []struct{ size, domains, want int }{{1, 1, 1}, {2, 1, 2}, {9, 3, 2}, {89, 4, 2}, {300, 22, 2}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d instances", tt.size), func(t *testing.T) {
+			all := fleet(tt.size, tt.domains)
+			domains := make(map[ident.Domain]bool)
+			count := 0
+			for _, self := range fleet(tt.size, tt.domains) {
+				rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+				if Chosen(self.Peer, all) {
+					count++
+					domains[self.Domain] = true
+				}
+			}
+			if count != tt.want {
+				t.Fatalf("%d readers, want %d", count, tt.want)
+			}
+			if len(domains) != min(tt.want, tt.domains) {
+				t.Fatalf("readers of %d failure domains", len(domains))
+			}
+		})
+	}
+}
+
+// TestCallsOfHelpersDoNotGrow plays ten seconds without any proof and counts the reads of all helping instances together.
+func TestCallsOfHelpersDoNotGrow(t *testing.T) {
+	for _, size := range []int{9, 89, 300} {
+		t.Run(fmt.Sprintf("%d instances", size), func(t *testing.T) {
+			const span, step = 10 * time.Second, 100 * time.Millisecond
+			draws := rand.New(rand.NewPCG(1, uint64(size)))
+			calls := 0
+			for at := helpAfter; at < helpAfter+span; at += step {
+				for range size {
+					if Helps(at, step, size, draws.Float64()) {
+						calls++
+					}
+				}
+			}
+			if most := 3 * int(span/helpEvery); calls == 0 || calls > most {
+				t.Fatalf("%d calls, want 1 to %d", calls, most)
+			}
+		})
+	}
+}
+
+func TestNoHelpWhileTheProofIsNew(t *testing.T) {
+	if Helps(helpAfter-1, time.Hour, 9, 0) {
+		t.Fatal("an instance reads though the last proof is new")
+	}
+}
--- /dev/null
+++ b/request/retries/retries_test.go
@@ -0,0 +1,78 @@
+package retries
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const service = ident.Service("desk")
+
+var policy = Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+func TestTakeStaysWithinThePartOfOneInstance(t *testing.T) {
+	tests := []struct {
+		name                string
+		requests, instances int
+		want                int
+	}{
+		{"no requests, nine instances", 0, 9, 3},
+		{"requests add their ratio", 100, 9, 23},
+		{"others not known yet", 0, 1, 10},
+		{"a large fleet", 50, 100, 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := New(policy)
+			now := time.Unix(1000, 0)
+			for range tt.requests {
+				b.Request(service, now)
+			}
+			got := 0
+			for b.Take(service, tt.instances, now) {
+				got++
+			}
+			if got != tt.want {
+				t.Fatalf("%d repeats allowed, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestFleetStaysWithinBudgetThroughRestarts plays nine instances that all fail every request, and are all restarted within one window.
+func TestFleetStaysWithinBudgetThroughRestarts(t *testing.T) {
+	const instances = 9
+	now := time.Unix(1000, 0)
+	requests, repeats := 0, 0
+	for range 2 {
+		for range instances {
+			b := New(policy)
+			for range 20 {
+				b.Request(service, now)
+				requests++
+				for b.Take(service, instances, now) {
+					repeats++
+				}
+			}
+		}
+		now = now.Add(policy.Window / 2)
+	}
+	if allowed := policy.Ratio*float64(requests) + policy.Slack; float64(repeats) > allowed {
+		t.Fatalf("%d repeats for %d requests, allowed %.0f", repeats, requests, allowed)
+	}
+}
+
+func TestWindowPasses(t *testing.T) {
+	b := New(policy)
+	now := time.Unix(1000, 0)
+	for b.Take(service, 9, now) {
+		continue
+	}
+	if b.Take(service, 9, now.Add(policy.Window/2)) {
+		t.Fatal("a repeat is allowed within the same window")
+	}
+	if !b.Take(service, 9, now.Add(policy.Window+time.Second)) {
+		t.Fatal("no repeat is allowed after the window")
+	}
+}
--- /dev/null
+++ b/version/routing/routing_test.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := New(1, Limits{}, []Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "long", Host: "A.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/"},
+	}, nil, nil)
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.EXAMPLE", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/y/1", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.host+tt.path, func(t *testing.T) {
+			route, ok := c.Match(tt.host, tt.path)
+			if ok != (tt.want != "") || (ok && route.Name != tt.want) {
+				t.Fatalf("got %+v, want %q", route, tt.want)
+			}
+		})
+	}
+}
+
+func TestAuthenticateNeedsTheWholeKey(t *testing.T) {
+	c := New(1, Limits{}, nil, nil, []Organisation{{Name: "museum", Keys: []string{"key-one", "key-two"}}})
+	tests := []struct {
+		key  string
+		want ident.Organisation
+	}{{"key-one", "museum"}, {"key-two", "museum"}, {"key-on", ""}, {"", ""}}
+	for _, tt := range tests {
+		if org, ok := c.Authenticate(tt.key); ok != (tt.want != "") || org != tt.want {
+			t.Fatalf("%q belongs to %q", tt.key, org)
+		}
+	}
+}
+
+func TestServiceFollowsTheWeights(t *testing.T) {
+	r := Route{Backends: []Backend{{"a", 90}, {"b", 10}, {"c", 0}}}
+	got := make(map[ident.Service]int)
+	for i := range 10000 {
+		got[r.Service(ident.Request(fmt.Sprint(i)))]++
+	}
+	if got["a"] < 8700 || got["a"] > 9300 || got["c"] != 0 {
+		t.Fatalf("got %v", got)
+	}
+	if (&Route{}).Service("x") != "" {
+		t.Fatal("a route without services has one")
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Repeatable}, true},
+		{Route{Kind: Unrepeatable}, false},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+		{Route{Kind: Unrepeatable, Resumable: true}, false},
+	}
+	for _, tt := range tests {
+		if tt.route.Repeatable() != tt.want {
+			t.Errorf("%+v", tt.route)
+		}
+	}
+}
