perf(entry): a restarted instance learns what engines hold of prompts

Ruled out: eviction (0 preempted), the bound on load. Change: a starting instance fetches the table of a peer that has one; where all have restarted, each engine is asked by one instance what it holds. Nothing is asked at the first start of a fleet.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -39,6 +39,8 @@
 		Incarnation ident.Incarnation
 		// StoreLost says that the sender cannot read the platform's store.
 		StoreLost bool
+		// Warm says that the sender knows what engines hold of prompts.
+		Warm bool
 		// Revision is that of the sender's replica, and ProofAge how long ago it was known to be current.
 		Revision ident.Revision
 		ProofAge time.Duration
@@ -57,10 +59,19 @@
 		Age    time.Duration
 	}
 
-	// Fetched is a replica's lag with the age of its proof.
+	// Ask says what an instance fetches from another.
+	Ask struct {
+		// Since is the revision of the asker's replica.
+		Since ident.Revision
+		// Holders asks for what engines hold of prompts instead of the replica's lag.
+		Holders bool
+	}
+
+	// Fetched is a replica's lag with the age of its proof, or what engines hold of prompts.
 	Fetched struct {
 		Delta    mirror.Delta
 		ProofAge time.Duration
+		Holders  []Holder
 	}
 
 	// Conn sends and receives beats.
@@ -117,18 +128,18 @@
 	return errors.Wrap(err, "send heartbeat")
 }
 
-// Run passes beats to hear and answers fetches with what lag returns, until ctx ends.
-func (c *Conn) Run(ctx context.Context, hear func(Beat), lag func(since ident.Revision) Fetched) error {
+// Run passes beats to hear and answers fetches with what give returns, until ctx ends.
+func (c *Conn) Run(ctx context.Context, hear func(Beat), give func(Ask) Fetched) error {
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	group, _ := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.receive(ctx, hear) })
-	group.Go(func() error { return c.accept(ctx, lag) })
+	group.Go(func() error { return c.accept(ctx, give) })
 	return group.Wait()
 }
 
-// Fetch asks an instance for what a replica at a revision lacks; the proof is as old as the answer says when it was asked for.
-func Fetch(ctx context.Context, from string, since ident.Revision) (Fetched, error) {
+// Fetch asks an instance; the proof is as old as the answer says when it was asked for.
+func Fetch(ctx context.Context, from string, ask Ask) (Fetched, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -138,7 +149,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
-	if err := wire.Write(conn, wire.Frame{Kind: wire.KindCall, Body: wire.Encode(since)}); err != nil {
+	if err := wire.Write(conn, wire.Frame{Kind: wire.KindCall, Body: wire.Encode(ask)}); err != nil {
 		return Fetched{}, err
 	}
 	f, err := wire.Read(conn)
@@ -164,7 +175,7 @@
 	}
 }
 
-func (c *Conn) accept(ctx context.Context, lag func(ident.Revision) Fetched) error {
+func (c *Conn) accept(ctx context.Context, give func(Ask) Fetched) error {
 	for {
 		conn, err := c.tcp.Accept()
 		if ctx.Err() != nil {
@@ -173,20 +184,20 @@
 		if err != nil {
 			continue
 		}
-		go answer(conn, lag)
+		go answer(conn, give)
 	}
 }
 
-func answer(conn net.Conn, lag func(ident.Revision) Fetched) {
+func answer(conn net.Conn, give func(Ask) Fetched) {
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
 	f, err := wire.Read(conn)
 	if err != nil {
 		return
 	}
-	since, err := wire.Decode[ident.Revision](f.Body)
+	ask, err := wire.Decode[Ask](f.Body)
 	if err != nil {
 		return
 	}
-	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: wire.Encode(lag(since))})
+	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: wire.Encode(give(ask))})
 }
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -93,7 +93,7 @@
 	x.service = route.Service(x.id)
 	if route.CachesPrompts {
 		ids, tokens := h.Names.ParseParts(r.Header.Get(h.Names.Parts))
-		x.parts = placing.Chains(ids, tokens, ident.Model(r.Header.Get(h.Names.Model)))
+		x.parts = placing.Parts(ids, tokens, ident.Model(r.Header.Get(h.Names.Model)))
 	}
 	return x
 }
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/beat"
-	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
@@ -24,6 +23,8 @@
 	rumoursPerBeat = 12
 	// holderSpan is how far back the holders of a beat reach; two rounds reach every instance of a small fleet.
 	holderSpan = 600 * time.Millisecond
+	// maxHolders bounds what a starting instance fetches, to about 32 KB.
+	maxHolders = 2048
 	// inlineChanges is how many changes may travel in a beat.
 	inlineChanges = 6
 )
@@ -70,7 +71,7 @@
 	}
 	now := boottime.Now()
 	news := n.members.Hear(members.Member{
-		Peer: b.Peer, Callers: b.Callers, Domain: b.Domain, State: b.State, Incarnation: b.Incarnation, StoreLost: b.StoreLost, Heard: now,
+		Peer: b.Peer, Callers: b.Callers, Domain: b.Domain, State: b.State, Incarnation: b.Incarnation, StoreLost: b.StoreLost, Warm: b.Warm, Heard: now,
 	})
 	if news {
 		n.log.Info("peer", zap.String("peer", b.Peer), zap.Int("state", int(b.State)))
@@ -78,11 +79,7 @@
 	n.members.HeardBy(b.Rumours, now)
 	wall := time.Now()
 	n.table.NoteLoads(b.Peer, b.Loads, wall)
-	holders := make([]placing.Holder, len(b.Holders))
-	for i, h := range b.Holders {
-		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: wall.Add(-h.Age)}
-	}
-	n.table.NoteHolders(holders)
+	n.noteHolders(b.Holders, wall)
 	if b.Answer > 0 {
 		n.takeProof(b)
 	}
@@ -133,12 +130,10 @@
 	revision, _, _ := n.mirror.State()
 	b := beat.Beat{
 		Peer: n.self, Callers: s.Instance.Callers.String(), Domain: s.Instance.FailureDomain, State: n.state(), Incarnation: n.incarnation,
-		StoreLost: n.storeLost.Load(), Revision: revision, ProofAge: n.proofAge(now), Loads: n.table.Loads(),
+		StoreLost: n.storeLost.Load(), Warm: n.warm.Load(), Revision: revision, ProofAge: n.proofAge(now), Loads: n.table.Loads(),
 	}
 	wall := time.Now()
-	for _, h := range n.table.Recent(wall.Add(-holderSpan), holdersPerBeat) {
-		b.Holders = append(b.Holders, beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: wall.Sub(h.At)})
-	}
+	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerBeat), wall)
 	for _, m := range n.pick(rumoursPerBeat) {
 		if m.Callers != "" {
 			b.Rumours = append(b.Rumours, members.Rumour{Peer: m.Peer, Age: now.Sub(m.Heard)})
@@ -153,8 +148,27 @@
 	}
 }
 
-// lag returns what a replica at a revision lacks.
-func (n *Node) lag(since ident.Revision) beat.Fetched {
+// give returns what another instance fetches.
+func (n *Node) give(ask beat.Ask) beat.Fetched {
+	if ask.Holders {
+		return beat.Fetched{ProofAge: beat.Unproven, Holders: holdersNow(n.table.Holders(maxHolders), time.Now())}
+	}
 	age := n.proofAge(boottime.Now())
-	return beat.Fetched{Delta: n.mirror.Since(since), ProofAge: age}
+	return beat.Fetched{Delta: n.mirror.Since(ask.Since), ProofAge: age}
+}
+
+func (n *Node) noteHolders(list []beat.Holder, now time.Time) {
+	holders := make([]placing.Holder, len(list))
+	for i, h := range list {
+		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: now.Add(-h.Age)}
+	}
+	n.table.NoteHolders(holders)
+}
+
+func holdersNow(list []placing.Holder, now time.Time) []beat.Holder {
+	holders := make([]beat.Holder, len(list))
+	for i, h := range list {
+		holders[i] = beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: now.Sub(h.At)}
+	}
+	return holders
 }
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -74,6 +74,8 @@
 		Decoder Decoder
 		Keys    Keys
 		Names   forward.Names
+		// ListCached asks the engine at an address which parts of prompts it holds.
+		ListCached func(ctx context.Context, address string) ([]placing.Part, error)
 		// ReadyPath and DirectoryPath are where the platform and callers ask.
 		ReadyPath, DirectoryPath string
 		// WriteDirectory writes the answer to callers that ask for addresses.
@@ -99,7 +101,7 @@
 		stopping    atomic.Bool
 		storeLost   atomic.Bool
 		hint        chan string
-		storeDown   sync.Map
+		warm        atomic.Bool
 
 		world         atomic.Pointer[world]
 		worldMu       sync.Mutex
@@ -158,12 +160,13 @@
 		}
 		group.Go(func() error { return ignoreClosed(each.server.Serve(listener)) })
 	}
-	group.Go(func() error { return n.beats.Run(groupCtx, n.hear, n.lag) })
+	group.Go(func() error { return n.beats.Run(groupCtx, n.hear, n.give) })
 	group.Go(func() error { return n.beatAll(groupCtx) })
 	group.Go(func() error { return n.follow(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
 	group.Go(func() error { return n.register(groupCtx) })
 	group.Go(func() error { return n.sweep(groupCtx) })
+	group.Go(func() error { return n.warmUp(groupCtx) })
 	n.log.Info("started", zap.String("peer", n.self))
 	select {
 	case <-ctx.Done():
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -139,7 +139,7 @@
 func (n *Node) fetch(ctx context.Context, peer string) {
 	revision, _, _ := n.mirror.State()
 	asked := boottime.Now()
-	f, err := beat.Fetch(ctx, peer, revision)
+	f, err := beat.Fetch(ctx, peer, beat.Ask{Since: revision})
 	if err != nil {
 		n.log.Debug("replica not fetched", zap.String("peer", peer), zap.Error(err))
 		return
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -30,6 +30,8 @@
 			Directory     tomlfile.Address   `toml:"directory"`
 			Peers         tomlfile.Address   `toml:"peers"`
 			Seeds         []tomlfile.Address `toml:"seeds"`
+			// FirstStart says that the whole fleet starts for the first time, so that there is nothing to learn of engines.
+			FirstStart bool `toml:"firstStart"`
 		} `toml:"instance"`
 		Store struct {
 			Address tomlfile.Address `toml:"address"`
--- /dev/null
+++ b/process/entry/warm.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/beat"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/rank"
+	"go.uber.org/zap"
+)
+
+const (
+	// peersPause is how long a starting instance waits to hear of peers that know what engines hold.
+	peersPause = 150 * time.Millisecond
+	// listTimeout bounds asking one engine what it holds.
+	listTimeout = time.Second
+	// sharePause is how long the others may take to ask their engines.
+	sharePause = 300 * time.Millisecond
+	// sharePeers is how many other instances are asked for what they learnt.
+	sharePeers = 16
+)
+
+// warmUp learns what engines hold of prompts: from a peer that knows, or, where the whole fleet has restarted, from the engines, each asked by one instance.
+func (n *Node) warmUp(ctx context.Context) error {
+	if n.settings.Load().Instance.FirstStart {
+		n.warm.Store(true)
+		return nil
+	}
+	for n.world.Load().configuration == nil || n.world.Load().engines.Ready() == 0 {
+		if !pause.For(ctx, checkPeriod) {
+			return ctx.Err()
+		}
+	}
+	pause.For(ctx, peersPause)
+	for _, m := range n.members.Alive(boottime.Now()) {
+		if m.Warm && n.fetchHolders(ctx, m.Peer) {
+			n.warm.Store(true)
+			n.log.Info("prompts known", zap.String("from", m.Peer))
+			return nil
+		}
+	}
+	n.listEngines(ctx)
+	pause.For(ctx, sharePause)
+	for _, m := range n.pick(sharePeers) {
+		n.fetchHolders(ctx, m.Peer)
+	}
+	n.warm.Store(true)
+	n.log.Info("prompts known from engines")
+	return nil
+}
+
+func (n *Node) fetchHolders(ctx context.Context, peer string) bool {
+	f, err := beat.Fetch(ctx, peer, beat.Ask{Holders: true})
+	if err != nil {
+		n.log.Info("prompts not fetched", zap.String("peer", peer), zap.Error(err))
+		return false
+	}
+	n.noteHolders(f.Holders, time.Now())
+	return true
+}
+
+// listEngines asks those engines for which this instance is the first of all living ones.
+func (n *Node) listEngines(ctx context.Context) {
+	living := []rank.Member{{Name: n.self, Weight: 1}}
+	for _, m := range n.members.Alive(boottime.Now()) {
+		living = append(living, rank.Member{Name: m.Peer, Weight: 1})
+	}
+	w := n.world.Load()
+	for _, s := range w.configuration.PromptServices() {
+		for _, e := range w.engines.Of(s) {
+			if rank.Best(string(e.ID), living) == 0 {
+				n.listEngine(ctx, e)
+			}
+		}
+	}
+}
+
+func (n *Node) listEngine(ctx context.Context, e engines.Engine) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	parts, err := n.platform.ListCached(ctx, e.Address)
+	if err != nil {
+		n.log.Info("engine not listed", zap.String("engine", string(e.ID)), zap.Error(err))
+		return
+	}
+	now := time.Now()
+	holders := make([]placing.Holder, len(parts))
+	for i, p := range parts {
+		holders[i] = placing.Holder{Chain: p.Chain, Engine: e.Key, At: now}
+	}
+	n.table.NoteHolders(holders)
+	n.log.Info("engine listed", zap.String("engine", string(ident.Engine(e.ID))), zap.Int("parts", len(parts)))
+}
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -42,7 +42,9 @@
 		Incarnation ident.Incarnation
 		// StoreLost says that the instance cannot read the platform's store.
 		StoreLost bool
-		Heard     boottime.Instant
+		// Warm says that the instance knows what engines hold of prompts.
+		Warm  bool
+		Heard boottime.Instant
 	}
 
 	// Rumour is what one instance has heard of another.
--- a/request/placing/placing_test.go
+++ b/request/placing/placing_test.go
@@ -29,7 +29,7 @@
 	for i := range tokens {
 		tokens[i] = 1000
 	}
-	return Chains(ids, tokens, "m")
+	return Parts(ids, tokens, "m")
 }
 
 func choose(t *testing.T, table *Table, all *engines.List, r Request, now time.Time) (Choice, *Work) {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -33,7 +33,7 @@
 )
 
 type (
-	// Chain identifies the beginning of a prompt up to a part.
+	// Chain identifies a part of prompts; engines that hold it hold the parts before it.
 	Chain uint32
 
 	// Part is one part of a prompt.
@@ -103,14 +103,16 @@
 	return &Table{policy: p, engines: make(map[engines.Key]*state), remote: make(map[string]remote), chains: chains, rate: firstRate}
 }
 
-// Chains returns the parts of a prompt with the chain that each ends.
-func Chains(ids []string, tokens []int, model ident.Model) []Part {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(model))
-	parts := make([]Part, len(ids))
-	for i, id := range ids {
-		_, _ = d.WriteString("\x00" + id)
-		parts[i] = Part{Chain: Chain(d.Sum64()), Tokens: tokens[i]}
+// PartOf returns a part of a prompt of a model by the part's name.
+func PartOf(name string, tokens int, model ident.Model) Part {
+	return Part{Chain: Chain(xxhash.Sum64String(string(model) + "\x00" + name)), Tokens: tokens}
+}
+
+// Parts returns the parts of a prompt in order.
+func Parts(names []string, tokens []int, model ident.Model) []Part {
+	parts := make([]Part, len(names))
+	for i, name := range names {
+		parts[i] = PartOf(name, tokens[i], model)
 	}
 	return parts
 }
@@ -155,6 +157,18 @@
 	return list
 }
 
+// Holders returns all that is known of engines that hold parts, the latest last, at most limit of them.
+func (t *Table) Holders(limit int) []Holder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Holder
+	for _, chain := range t.chains.Keys() {
+		holders, _ := t.chains.Peek(chain)
+		list = append(list, holders...)
+	}
+	return list[max(len(list)-limit, 0):]
+}
+
 // NoteReport takes the load that an engine stated with an answer.
 func (t *Table) NoteReport(e engines.Engine, r Report, now time.Time) {
 	t.mu.Lock()
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -126,6 +127,21 @@
 // NeedsKeys reports whether requests on routes that are not public carry a key.
 func (c *Configuration) NeedsKeys() bool { return len(c.owners) > 0 }
 
+// PromptServices returns the services whose engines cache parts of prompts.
+func (c *Configuration) PromptServices() []ident.Service {
+	var list []ident.Service
+	for _, routes := range c.byHost {
+		for _, r := range routes {
+			for _, b := range r.Backends {
+				if r.CachesPrompts && !slices.Contains(list, b.Service) {
+					list = append(list, b.Service)
+				}
+			}
+		}
+	}
+	return list
+}
+
 // Authenticate returns the organisation that holds the key.
 func (c *Configuration) Authenticate(key string) (ident.Organisation, bool) {
 	org, ok := c.owners[sha256.Sum256([]byte(key))]
