test(entry): whole instances before a store in memory, with cuts, restarts and revoked keys

Found and fixed: the wait of watches and the age from which others help were constants that did not fit a shorter bound for revoked keys (an instance never became ready); both now follow the bound. Other instances used to help once in a while though the readers worked, since a proof of 2 s is usual.

--- /dev/null
+++ b/process/entry/entry_test.go
@@ -0,0 +1,418 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/entry"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/standin/memstore"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+	"go.uber.org/zap"
+)
+
+const (
+	revocation = 2 * time.Second
+	keyHeader  = "Bearer "
+	oneKey     = "key-one"
+	otherKey   = "key-two"
+	configKey  = "configuration"
+	// firstNet and firstPort give every instance loopback addresses of its own, with the same ports as on the platform.
+	firstNet  = 100
+	firstPort = 7001
+)
+
+// fleets counts the fleets of all tests.
+var fleets atomic.Int32
+
+type (
+	// fleet is some instances before fake engines and a store in memory.
+	fleet struct {
+		t      *testing.T
+		number int32
+		store  *memstore.Store
+		nodes  []*instance
+		engine *httptest.Server
+		runs   atomic.Int32
+		work   time.Duration
+		listed atomic.Int32
+	}
+
+	instance struct {
+		settings entry.Settings
+		client   *memstore.Client
+		stop     context.CancelFunc
+		ended    chan error
+	}
+
+	// testConfiguration is the configuration as these tests write it.
+	testConfiguration struct {
+		Version routing.Version
+		Keys    []string
+		Path    string
+	}
+
+	testDecoder struct{}
+)
+
+func (testDecoder) Configuration(value []byte) (*routing.Configuration, error) {
+	var c testConfiguration
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, err
+	}
+	route := routing.Route{
+		Name: "r", Host: "h.example", PathPrefix: c.Path, Kind: routing.Unrepeatable, Timeout: 5 * time.Second, MaxEngines: 1, CachesPrompts: true,
+		Backends: []routing.Backend{{Service: "s", Weight: 1}},
+	}
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route}, nil, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
+}
+
+func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: string(value), Slots: 10}, nil
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, number: fleets.Add(1), store: memstore.New()}
+	f.engine = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		time.Sleep(f.work)
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		w.Header().Set("X-Seal", "seal")
+		_, _ = io.WriteString(w, "ok")
+	}))
+	t.Cleanup(f.engine.Close)
+	f.configure(testConfiguration{Version: 1, Keys: []string{oneKey, otherKey}, Path: "/p/"})
+	f.store.Put("engines/e1", []byte(strings.TrimPrefix(f.engine.URL, "http://")))
+	for i := range size {
+		f.nodes = append(f.nodes, &instance{settings: f.settings(i), client: f.store.Client()})
+	}
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	t.Cleanup(f.haltAll)
+	return f
+}
+
+func (f *fleet) configure(c testConfiguration) {
+	value, err := json.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.Put(configKey, value)
+}
+
+func (f *fleet) settings(i int) entry.Settings {
+	var s entry.Settings
+	s.Instance.Name = fmt.Sprint("n", i)
+	s.Instance.FailureDomain = ident.Domain(fmt.Sprint("d", i%3))
+	for port, a := range []*tomlfile.Address{&s.Instance.Callers, &s.Instance.Ready, &s.Instance.Directory, &s.Instance.Peers} {
+		*a = parseAddress(f.t, fmt.Sprintf("127.%d.%d.1:%d", firstNet+f.number, i+1, firstPort+port))
+	}
+	s.Bounds.KeyRevocation = tomlfile.NewDuration(revocation)
+	s.Bounds.Contact = tomlfile.NewDuration(time.Second)
+	s.Bounds.Shutdown = tomlfile.NewDuration(5 * time.Second)
+	s.Bounds.MaxAddressValidity = tomlfile.NewDuration(200 * time.Millisecond)
+	s.Retries.Window = tomlfile.NewDuration(10 * time.Second)
+	s.Retries.Slack = 60
+	return s
+}
+
+func (f *fleet) start(i int, first bool) {
+	f.t.Helper()
+	n := f.nodes[i]
+	n.settings.Instance.FirstStart = first
+	node, err := entry.New(n.settings, f.platform(n.client), zap.NewNop(), time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop, n.ended = stop, make(chan error, 1)
+	go func() { n.ended <- node.Run(ctx) }()
+	f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
+}
+
+func (f *fleet) halt(i int) {
+	if f.nodes[i].stop == nil {
+		return
+	}
+	f.nodes[i].stop()
+	if err := <-f.nodes[i].ended; err != nil {
+		f.t.Errorf("instance %d: %v", i, err)
+	}
+	f.nodes[i].stop = nil
+}
+
+func (f *fleet) haltAll() {
+	var ends sync.WaitGroup
+	for i := range f.nodes {
+		ends.Go(func() { f.halt(i) })
+	}
+	ends.Wait()
+}
+
+func (f *fleet) platform(c *memstore.Client) entry.Platform {
+	return entry.Platform{
+		Store: c, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/"},
+		Names: forward.Names{
+			RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", Parts: "X-Parts", LastEvent: "X-Last", Organisation: "X-Organisation",
+			Expect: "X-Expect", Seal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load",
+			ParseParts: func(string) ([]string, []int) { return nil, nil },
+			ParseLoad:  func(string) (placing.Report, bool) { return placing.Report{}, false },
+		},
+		ListCached: func(context.Context, string) ([]placing.Part, error) {
+			f.listed.Add(1)
+			return []placing.Part{placing.PartOf("a", 100, "m")}, nil
+		},
+		ReadyPath: "/ready", DirectoryPath: "/addresses",
+		WriteDirectory: func(w http.ResponseWriter, addresses []string, _ time.Duration) {
+			_, _ = io.WriteString(w, strings.Join(addresses, " "))
+		},
+	}
+}
+
+func (f *fleet) ready(i int) bool {
+	resp, err := http.Get("http://" + f.nodes[i].settings.Instance.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) addresses(i int) string {
+	resp, err := http.Get("http://" + f.nodes[i].settings.Instance.Directory.String() + "/addresses")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
+// ask sends one request to an instance and returns the status, or 0 where the connection broke.
+func (f *fleet) ask(i int, key, path string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[i].settings.Instance.Callers.String()+path, strings.NewReader("x"))
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	req.Host = "h.example"
+	req.Header.Set("Authorization", keyHeader+key)
+	req.Header.Set("X-Request", string(ident.NewRequest()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func (f *fleet) eventually(ok func() bool, message string, args ...any) {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf(message, args...)
+}
+
+func parseAddress(t *testing.T, s string) tomlfile.Address {
+	t.Helper()
+	var a tomlfile.Address
+	if err := a.UnmarshalText([]byte(s)); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestEveryInstanceServesAndNamesAll(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	for i := range f.nodes {
+		if got := f.ask(i, oneKey, "/p/x"); got != http.StatusOK {
+			t.Fatalf("instance %d answers %d", i, got)
+		}
+		f.eventually(func() bool { return len(strings.Fields(f.addresses(i))) == 3 }, "instance %d names %q", i, f.addresses(i))
+	}
+}
+
+func TestChangesAreInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.configure(testConfiguration{Version: 2, Keys: []string{otherKey}, Path: "/q/"})
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ask(i, otherKey, "/q/x") == http.StatusOK }, "instance %d has no new route", i)
+		f.eventually(func() bool { return f.ask(i, oneKey, "/q/x") == http.StatusUnauthorized }, "instance %d takes a revoked key", i)
+	}
+	f.configure(testConfiguration{Version: 1, Keys: []string{oneKey}, Path: "/p/"})
+	time.Sleep(time.Second)
+	for i := range f.nodes {
+		if got := f.ask(i, otherKey, "/q/x"); got != http.StatusOK {
+			t.Fatalf("instance %d went back to an older version: %d", i, got)
+		}
+	}
+}
+
+// TestRevokedKeyEndsBehindACut cuts one instance from store and peers, and revokes a key: it must never run later than the bound.
+func TestRevokedKeyEndsBehindACut(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.nodes[0].client.SetCut(true)
+	f.halt(1)
+	f.halt(2)
+	f.configure(testConfiguration{Version: 2, Keys: []string{otherKey}, Path: "/p/"})
+	revoked := time.Now()
+	refused := false
+	for time.Since(revoked) < 2*revocation {
+		sent := time.Now()
+		status := f.ask(0, oneKey, "/p/x")
+		if status == http.StatusOK && sent.Sub(revoked) > revocation {
+			t.Fatalf("a revoked key runs %s after its end", sent.Sub(revoked))
+		}
+		if status == http.StatusUnauthorized || status == http.StatusNotFound {
+			t.Fatalf("an instance out of touch answers %d", status)
+		}
+		refused = refused || status == http.StatusServiceUnavailable
+		time.Sleep(50 * time.Millisecond)
+	}
+	if !refused {
+		t.Fatal("the cut instance never refused")
+	}
+	f.nodes[0].client.SetCut(false)
+	f.eventually(func() bool { return f.ask(0, otherKey, "/p/x") == http.StatusOK }, "the instance does not come back")
+}
+
+// TestPeersVouchForAnInstanceCutFromTheStore: it serves on, and learns of changes, for longer than its own knowledge would last.
+func TestPeersVouchForAnInstanceCutFromTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.nodes[0].client.SetCut(true)
+	for end := time.Now().Add(2 * revocation); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if got := f.ask(0, oneKey, "/p/x"); got != http.StatusOK {
+			t.Fatalf("the cut instance answers %d", got)
+		}
+	}
+	f.configure(testConfiguration{Version: 2, Keys: []string{otherKey}, Path: "/p/"})
+	f.eventually(func() bool { return f.ask(0, oneKey, "/p/x") == http.StatusUnauthorized }, "the cut instance does not learn of the change")
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.store.Compact()
+	f.configure(testConfiguration{Version: 2, Keys: []string{otherKey}, Path: "/p/"})
+	f.store.Compact()
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ask(i, oneKey, "/p/x") == http.StatusUnauthorized }, "instance %d does not learn of the change", i)
+	}
+}
+
+// TestStartWithoutTheStore restarts an instance while the store is away: its peers give it what they have.
+func TestStartWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	for _, n := range f.nodes[1:] {
+		f.nodes[0].settings.Instance.Seeds = append(f.nodes[0].settings.Instance.Seeds, n.settings.Instance.Peers)
+	}
+	f.halt(0)
+	f.nodes[0].client.SetCut(true)
+	f.start(0, false)
+	if got := f.ask(0, oneKey, "/p/x"); got != http.StatusOK {
+		t.Fatalf("answers %d", got)
+	}
+}
+
+// TestPlannedStopCutsNoRequest stops each instance in turn under load.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.work = 100 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	var cut, served atomic.Int32
+	for range 8 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				addresses := strings.Fields(f.addresses(2))
+				if len(addresses) == 0 {
+					continue
+				}
+				for i, n := range f.nodes {
+					if n.settings.Instance.Callers.String() != addresses[0] {
+						continue
+					}
+					if f.ask(i, oneKey, "/p/x") == http.StatusOK {
+						served.Add(1)
+					} else {
+						cut.Add(1)
+					}
+				}
+			}
+		})
+	}
+	for _, i := range []int{0, 1} {
+		time.Sleep(300 * time.Millisecond)
+		f.halt(i)
+		f.start(i, false)
+	}
+	cancel()
+	callers.Wait()
+	if cut.Load() > 0 || served.Load() == 0 {
+		t.Fatalf("%d requests cut, %d served", cut.Load(), served.Load())
+	}
+}
+
+func TestEnginesAreListedOnlyWhereNoPeerKnows(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	if f.listed.Load() != 0 {
+		t.Fatal("engines were asked at the first start")
+	}
+	f.halt(0)
+	f.start(0, false)
+	time.Sleep(time.Second)
+	if n := f.listed.Load(); n != 0 {
+		t.Fatalf("engines were asked %d times though a peer knows", n)
+	}
+	f.haltAll()
+	f.start(0, false)
+	f.start(1, false)
+	f.eventually(func() bool { return f.listed.Load() > 0 }, "engines were not asked after all had restarted")
+}
+
+// TestCallsToTheStoreDoNotGrowWithTheFleet compares the calls of small and large fleets in the same time.
+func TestCallsToTheStoreDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+	const span = 3 * time.Second
+	perSecond := func(size int) float64 {
+		f := newFleet(t, size)
+		time.Sleep(time.Second)
+		before := f.store.Calls()
+		time.Sleep(span)
+		calls := f.store.Calls() - before
+		f.haltAll()
+		return float64(calls) / span.Seconds()
+	}
+	small, large := perSecond(3), perSecond(12)
+	if large > 2*small+1 {
+		t.Fatalf("%.1f calls a second of 12 instances, %.1f of 3", large, small)
+	}
+}
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// watchWait is how long a watch of the store waits for a change; its return proves the replica current.
-	watchWait = time.Second
 	// watchPause keeps a reader from calling the store for each single change in quick succession.
 	watchPause = 60 * time.Millisecond
 	// callTimeout bounds a call to the store beyond the wait that it was asked for.
@@ -81,7 +79,7 @@
 			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
 		}
 	}
-	return readers.Chosen(n.self, all) || readers.Helps(age, checkPeriod, len(alive)+1, rand.Float64())
+	return readers.Chosen(n.self, all) || n.schedule().Helps(age, checkPeriod, len(alive)+1, rand.Float64())
 }
 
 // readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
@@ -89,8 +87,8 @@
 	sent := boottime.Now()
 	revision, _, loaded := n.mirror.State()
 	if loaded {
-		wait := watchWait
-		if n.proofAge(sent) > watchWait*2 {
+		wait := n.schedule().Watch
+		if n.proofAge(sent) > 2*wait {
 			wait = time.Millisecond
 		}
 		ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -117,6 +115,8 @@
 	return nil
 }
 
+func (n *Node) schedule() readers.Schedule { return readers.NewSchedule(n.settings.Load().denyAge()) }
+
 // news applies what was read and lets the other instances know.
 func (n *Node) news(d mirror.Delta, proven boottime.Instant) {
 	if n.apply(d, proven) {
--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// peersPause is how long a starting instance waits to hear of peers that know what engines hold.
-	peersPause = 150 * time.Millisecond
+	// peersWait bounds how long a starting instance waits to hear of all known peers, and peersCheck how often it looks.
+	peersWait  = 400 * time.Millisecond
+	peersCheck = 40 * time.Millisecond
 	// listTimeout bounds asking one engine what it holds.
 	listTimeout = time.Second
 	// sharePause is how long the others may take to ask their engines.
@@ -36,12 +37,18 @@
 			return ctx.Err()
 		}
 	}
-	pause.For(ctx, peersPause)
-	for _, m := range n.members.Alive(boottime.Now()) {
-		if m.Warm && n.fetchHolders(ctx, m.Peer) {
-			n.warm.Store(true)
-			n.log.Info("prompts known", zap.String("from", m.Peer))
-			return nil
+	for waited := time.Duration(0); waited < peersWait && pause.For(ctx, peersCheck); waited += peersCheck {
+		now := boottime.Now()
+		alive := n.members.Alive(now)
+		for _, m := range alive {
+			if m.Warm && n.fetchHolders(ctx, m.Peer) {
+				n.warm.Store(true)
+				n.log.Info("prompts known", zap.String("from", m.Peer))
+				return nil
+			}
+		}
+		if len(alive) > 0 && len(alive) == len(n.members.All(now)) {
+			break
 		}
 	}
 	n.listEngines(ctx)
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -12,13 +12,25 @@
 const (
 	// Count is how many instances watch the store: one may be lost without anybody noticing.
 	Count = 2
-	// helpAfter is the age of the last proof from which other instances read too.
-	helpAfter = 1800 * time.Millisecond
+	// longestWatch bounds how long a watch waits, so that the proof of a quiet store is never old.
+	longestWatch = time.Second
+	// watchesPerBound is how many watches fit into the age at which a configuration no longer decides.
+	watchesPerBound = 3
+	// helpMargin is the time that a proof takes to the other instances, over two rounds of heartbeats.
+	helpMargin = 600 * time.Millisecond
 	// helpEvery is the mean pause between two reads of all helping instances together.
 	helpEvery = 400 * time.Millisecond
 )
 
 type (
+	// Schedule says how long readers wait and when others help.
+	Schedule struct {
+		// Watch is how long a watch of the store waits for a change.
+		Watch time.Duration
+		// HelpAfter is the age of the last proof from which other instances read too.
+		HelpAfter time.Duration
+	}
+
 	// Instance is one candidate.
 	Instance struct {
 		Peer   string
@@ -26,6 +38,12 @@
 	}
 )
 
+// NewSchedule returns the schedule for a configuration that decides up to an age; a proof is as old as the watch that brought it.
+func NewSchedule(decides time.Duration) Schedule {
+	watch := min(longestWatch, decides/watchesPerBound)
+	return Schedule{Watch: watch, HelpAfter: 2*watch + helpMargin}
+}
+
 // Chosen reports whether an instance is one of the readers: the first of the instances by a hash, each of a failure domain of its own while there are enough.
 func Chosen(self string, all []Instance) bool {
 	order := ranked(all)
@@ -44,8 +62,8 @@
 }
 
 // Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; it is asked every step, with a random number from 0 to 1.
-func Helps(proofAge, step time.Duration, instances int, draw float64) bool {
-	return proofAge >= helpAfter && draw < float64(step)/float64(helpEvery*time.Duration(max(instances, 1)))
+func (s Schedule) Helps(proofAge, step time.Duration, instances int, draw float64) bool {
+	return proofAge >= s.HelpAfter && draw < float64(step)/float64(helpEvery*time.Duration(max(instances, 1)))
 }
 
 func ranked(all []Instance) []Instance {
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -9,6 +9,18 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 )
 
+var schedule = NewSchedule(3 * time.Second)
+
+// TestScheduleFitsTheBound: while readers work, no proof may reach the age at which a configuration no longer decides.
+func TestScheduleFitsTheBound(t *testing.T) {
+	for _, decides := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
+		s := NewSchedule(decides)
+		if oldest := 2 * s.Watch; oldest >= decides || oldest >= s.HelpAfter {
+			t.Errorf("decides up to %s: proofs of %s, help after %s", decides, oldest, s.HelpAfter)
+		}
+	}
+}
+
 func fleet(size, domains int) []Instance {
 	var all []Instance
 	for i := range size {
@@ -48,9 +60,9 @@
 			const span, step = 10 * time.Second, 100 * time.Millisecond
 			draws := rand.New(rand.NewPCG(1, uint64(size)))
 			calls := 0
-			for at := helpAfter; at < helpAfter+span; at += step {
+			for at := schedule.HelpAfter; at < schedule.HelpAfter+span; at += step {
 				for range size {
-					if Helps(at, step, size, draws.Float64()) {
+					if schedule.Helps(at, step, size, draws.Float64()) {
 						calls++
 					}
 				}
@@ -63,7 +75,7 @@
 }
 
 func TestNoHelpWhileTheProofIsNew(t *testing.T) {
-	if Helps(helpAfter-1, time.Hour, 9, 0) {
+	if schedule.Helps(schedule.HelpAfter-1, time.Hour, 9, 0) {
 		t.Fatal("an instance reads though the last proof is new")
 	}
 }
--- /dev/null
+++ b/standin/memstore/memstore.go
@@ -0,0 +1,199 @@
+package memstore
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/entry"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+)
+
+var errDown = errors.New("the store does not answer")
+
+type (
+	// Store is shared by all instances of a fleet.
+	Store struct {
+		mu       sync.Mutex
+		entries  map[string]mirror.Entry
+		history  []mirror.Entry
+		kept     ident.Revision
+		revision ident.Revision
+		leases   int
+		changed  chan struct{}
+		calls    int
+		down     bool
+	}
+
+	// Client is the way of one instance to the store; it can be cut.
+	Client struct {
+		store *Store
+		mu    sync.Mutex
+		cut   bool
+	}
+)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{entries: make(map[string]mirror.Entry), revision: 1, changed: make(chan struct{})}
+}
+
+// Client returns a new way to the store.
+func (s *Store) Client() *Client { return &Client{store: s} }
+
+// Put stores a value and returns its revision.
+func (s *Store) Put(key string, value []byte) ident.Revision {
+	return s.write(mirror.Entry{Key: key, Value: value})
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) { s.write(mirror.Entry{Key: key, Deleted: true}) }
+
+// SetDown switches the store off for all, or on again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.kept = nil, s.revision
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetCut switches one way to the store off or on again.
+func (c *Client) SetCut(cut bool) {
+	c.mu.Lock()
+	c.cut = cut
+	c.mu.Unlock()
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.wake()
+}
+
+// Read returns all entries below a prefix.
+func (c *Client) Read(_ context.Context, prefix string) ([]mirror.Entry, ident.Revision, error) {
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	var list []mirror.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list, s.revision, nil
+}
+
+// Watch returns the changes after a revision, or none after the wait.
+func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error) {
+	s := c.store
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	for ended := false; ; {
+		if after < s.kept {
+			return nil, 0, &entry.CompactedError{After: after}
+		}
+		if c.isCut() || s.down {
+			return nil, 0, errDown
+		}
+		news := slices.DeleteFunc(slices.Clone(s.history), func(e mirror.Entry) bool {
+			return e.Revision <= after || !strings.HasPrefix(e.Key, prefix)
+		})
+		if len(news) > 0 || ended {
+			return news, s.revision, nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			ended = true
+		case <-ctx.Done():
+			s.mu.Lock()
+			return nil, 0, ctx.Err()
+		}
+		s.mu.Lock()
+	}
+}
+
+// Lend stores a value; leases do not run out here.
+func (c *Client) Lend(_ context.Context, key string, value []byte, _ time.Duration) (string, error) {
+	c.store.mu.Lock()
+	err := c.call()
+	c.store.leases++
+	id := strconv.Itoa(c.store.leases)
+	c.store.mu.Unlock()
+	if err != nil {
+		return "", err
+	}
+	c.store.Put(key, value)
+	return id, nil
+}
+
+// Renew keeps a lease.
+func (c *Client) Renew(context.Context, string) error {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.call()
+}
+
+// call counts a call, and fails where the store cannot be reached; the store's lock is held.
+func (c *Client) call() error {
+	c.store.calls++
+	if c.isCut() || c.store.down {
+		return errDown
+	}
+	return nil
+}
+
+func (c *Client) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
+func (s *Store) write(e mirror.Entry) ident.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e.Revision = s.revision
+	if e.Deleted {
+		delete(s.entries, e.Key)
+	} else {
+		s.entries[e.Key] = e
+	}
+	s.history = append(s.history, e)
+	s.wake()
+	return s.revision
+}
+
+// wake lets all waiting watches look again.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
