fix(mirror): a lagging instance gets the last change of each key only, compressed

Its log shows a fetch that timed out after 800 ms: in a storm the reply held every version of the configuration, over 10 Mbit/s links. Ruled out: lost heartbeats (the hint came in time), the readers (they had it after 0.2 s). Change: the last change of each key only, replies are compressed, hints that no longer tell of anything newer are skipped.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -1,7 +1,10 @@
 package beat
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -156,7 +159,31 @@
 	if err != nil {
 		return Fetched{}, errors.Wrap(err, "read replica")
 	}
-	return wire.Decode[Fetched](f.Body)
+	body, err := unpack(f.Body)
+	if err != nil {
+		return Fetched{}, errors.Wrap(err, "unpack replica")
+	}
+	return wire.Decode[Fetched](body)
+}
+
+// pack compresses a reply: configurations shrink to a tenth, which counts on the smallest links.
+func pack(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(body []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), wire.MaxBodyBytes))
 }
 
 func (c *Conn) receive(ctx context.Context, hear func(Beat)) error {
@@ -199,5 +226,9 @@
 	if err != nil {
 		return
 	}
-	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: wire.Encode(give(ask))})
+	body, err := pack(wire.Encode(give(ask)))
+	if err != nil {
+		return
+	}
+	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: body})
 }
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -88,7 +88,7 @@
 	}
 	if revision, _, loaded := n.mirror.State(); b.Revision > revision || !loaded {
 		select {
-		case n.hint <- b.Peer:
+		case n.hint <- ahead{peer: b.Peer, revision: b.Revision}:
 		default:
 		}
 	}
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -36,6 +36,8 @@
 	sweepPeriod = time.Second
 	// lingerFactor is how many validities of the address answer callers may go on using it.
 	lingerFactor = 3
+	// hints bounds how many instances ahead of this one wait to be asked.
+	hints = 16
 	// addressValidity is how long callers keep the address answer.
 	addressValidity = time.Second
 )
@@ -100,7 +102,7 @@
 		beats       *beat.Conn
 		stopping    atomic.Bool
 		storeLost   atomic.Bool
-		hint        chan string
+		hint        chan ahead
 		warm        atomic.Bool
 
 		world         atomic.Pointer[world]
@@ -109,6 +111,12 @@
 		configuration ident.Revision
 	}
 
+	// ahead names an instance whose replica is ahead of this one's.
+	ahead struct {
+		peer     string
+		revision ident.Revision
+	}
+
 	// world is what the entries of the store say.
 	world struct {
 		configuration *routing.Configuration
@@ -133,7 +141,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), beats: beats, hint: make(chan string, 16), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), beats: beats, hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -130,8 +130,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case peer := <-n.hint:
-			n.fetch(ctx, peer)
+		case ahead := <-n.hint:
+			if revision, _, loaded := n.mirror.State(); ahead.revision > revision || !loaded {
+				n.fetch(ctx, ahead.peer)
+			}
 		}
 	}
 }
--- a/version/mirror/mirror.go
+++ b/version/mirror/mirror.go
@@ -94,7 +94,7 @@
 	return m.revision, m.proven, m.loaded
 }
 
-// Since returns what a replica at a revision lacks.
+// Since returns what a replica at a revision lacks: the last change of each key.
 func (m *Mirror) Since(revision ident.Revision) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -106,11 +106,14 @@
 		return Delta{Full: true, Entries: all, Revision: m.revision}
 	}
 	var news []Entry
-	for _, e := range m.log {
-		if e.Revision > revision {
+	seen := make(map[string]bool)
+	for i := len(m.log) - 1; i >= 0 && m.log[i].Revision > revision; i-- {
+		if e := m.log[i]; !seen[e.Key] {
+			seen[e.Key] = true
 			news = append(news, e)
 		}
 	}
+	slices.Reverse(news)
 	return Delta{Entries: news, Revision: m.revision}
 }
 
@@ -153,10 +156,24 @@
 
 // remember appends to the log in the order of revisions, and forgets the oldest changes.
 func (m *Mirror) remember(news []Entry) {
-	m.log = append(m.log, news...)
+	for _, e := range news {
+		if !e.Deleted {
+			m.dropValue(e.Key)
+		}
+		m.log = append(m.log, e)
+	}
 	slices.SortStableFunc(m.log, func(a, b Entry) int { return int(a.Revision - b.Revision) })
 	if over := len(m.log) - logLength; over > 0 {
 		m.logFrom = m.log[over-1].Revision
 		m.log = slices.Clone(m.log[over:])
 	}
 }
+
+// dropValue forgets the value of an earlier change of a key, which nobody will ask for again.
+func (m *Mirror) dropValue(key string) {
+	for i := range m.log {
+		if m.log[i].Key == key {
+			m.log[i].Value = nil
+		}
+	}
+}
--- a/version/mirror/mirror_test.go
+++ b/version/mirror/mirror_test.go
@@ -111,3 +111,16 @@
 		}
 	})
 }
+
+// TestLagHoldsTheLastChangeOfEachKeyOnly: a storm of large values must not be sent whole.
+func TestLagHoldsTheLastChangeOfEachKeyOnly(t *testing.T) {
+	m := New()
+	m.Apply(Delta{Full: true, Revision: 1}, 1)
+	for revision := ident.Revision(2); revision <= 50; revision++ {
+		m.Apply(Delta{Entries: []Entry{entry("configuration", revision)}, Revision: revision}, 1)
+	}
+	lag := m.Since(5)
+	if len(lag.Entries) != 1 || lag.Entries[0].Revision != 50 || string(lag.Entries[0].Value) != "50" {
+		t.Fatalf("the lag is %+v", lag.Entries)
+	}
+}
