perf(entry): heartbeats keep to 4 KB/s, cold prompts go to the same engine everywhere

Heartbeats cost about 20 KB/s an instance, five times the stated budget. Change: engines are ranked for a cold prompt by rendezvous, 1,000 tokens a rank; a round asks two instances, rumours and ages are compact, all beats pass the control budget that routers use, and the silence after which an instance counts as gone grows with the fleet.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,14 +53,23 @@
 		Changed bool
 		Loads   map[engines.Key]int
 		Holders []Holder
-		Rumours []members.Rumour
+		Rumours []Rumour
+	}
+
+	// Millis is a time in milliseconds, which takes three bytes of a message up to a minute.
+	Millis int64
+
+	// Rumour is when another instance was last heard of; all instances use the same port for peers.
+	Rumour struct {
+		IP  uint32
+		Age Millis
 	}
 
 	// Holder is an engine that has read a chain, with the time since.
 	Holder struct {
 		Chain  placing.Chain
 		Engine engines.Key
-		Age    time.Duration
+		Age    Millis
 	}
 
 	// Ask says what an instance fetches from another.
@@ -108,8 +118,8 @@
 	_ = c.tcp.Close()
 }
 
-// Send sends one beat, shortened where it is too long for a datagram.
-func (c *Conn) Send(to string, b Beat) error {
+// Encode returns the datagram of a beat, without its changes or with fewer holders and rumours where it would be too long.
+func Encode(b Beat) []byte {
 	body := wire.Encode(b)
 	if len(body) > MaxDatagram {
 		b.Changes, b.Changed = nil, false
@@ -123,14 +133,25 @@
 		}
 		body = wire.Encode(b)
 	}
-	at, err := net.ResolveUDPAddr("udp", to)
+	return body
+}
+
+// Send sends an encoded beat.
+func (c *Conn) Send(to string, body []byte) error {
+	at, err := netip.ParseAddrPort(to)
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	_, err = c.udp.WriteToUDP(body, at)
+	_, err = c.udp.WriteToUDPAddrPort(body, at)
 	return errors.Wrap(err, "send heartbeat")
 }
 
+// MillisOf returns a time in whole milliseconds.
+func MillisOf(d time.Duration) Millis { return Millis(d.Milliseconds()) }
+
+// Duration returns the time as the standard library's type.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
 // Run passes beats to hear and answers fetches with what give returns, until ctx ends.
 func (c *Conn) Run(ctx context.Context, hear func(Beat), give func(Ask) Fetched) error {
 	stop := context.AfterFunc(ctx, c.Close)
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/beat"
 	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
@@ -16,13 +19,15 @@
 const (
 	// beatPeriod is the pause between two rounds of heartbeats.
 	beatPeriod = 250 * time.Millisecond
-	// beatFanOut is how many instances are asked in a round; a fleet of that size is asked whole.
-	beatFanOut = 8
+	// beatFanOut is how many instances are asked in a round.
+	beatFanOut = 2
+	// announceFanOut is how many instances are asked at once where something changed.
+	announceFanOut = 16
 	// holdersPerBeat and rumoursPerBeat keep a beat within the control budget.
 	holdersPerBeat = 24
-	rumoursPerBeat = 12
-	// holderSpan is how far back the holders of a beat reach; two rounds reach every instance of a small fleet.
-	holderSpan = 600 * time.Millisecond
+	rumoursPerBeat = 10
+	// holderSpan is how far back the holders of a beat reach; in that time it meets nearly all instances of a small fleet.
+	holderSpan = 1200 * time.Millisecond
 	// maxHolders bounds what a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
 	// inlineChanges is how many changes may travel in a beat.
@@ -36,7 +41,7 @@
 	}
 	for pause.For(ctx, beatPeriod) {
 		for _, m := range n.pick(beatFanOut) {
-			n.send(m.Peer, n.ask())
+			n.send(m.Peer, n.ask(), budget.Membership)
 		}
 	}
 	return ctx.Err()
@@ -52,8 +57,8 @@
 
 // announce sends a heartbeat to as many instances at once as one round does, because something changed.
 func (n *Node) announce() {
-	for _, m := range n.pick(2 * beatFanOut) {
-		n.send(m.Peer, n.ask())
+	for _, m := range n.pick(announceFanOut) {
+		n.send(m.Peer, n.ask(), budget.Urgent)
 	}
 }
 
@@ -76,7 +81,7 @@
 	if news {
 		n.log.Info("peer", zap.String("peer", b.Peer), zap.Int("state", int(b.State)))
 	}
-	n.members.HeardBy(b.Rumours, now)
+	n.members.HeardBy(n.rumours(b.Rumours), now)
 	wall := time.Now()
 	n.table.NoteLoads(b.Peer, b.Loads, wall)
 	n.noteHolders(b.Holders, wall)
@@ -110,12 +115,14 @@
 func (n *Node) answer(b beat.Beat) {
 	reply := n.beat()
 	reply.Answer = b.Ask
+	kind := budget.Membership
 	if b.Revision > 0 && b.Revision < reply.Revision {
 		if d := n.mirror.Since(b.Revision); !d.Full && len(d.Entries) <= inlineChanges {
 			reply.Changes, reply.Changed, reply.Revision = d.Entries, true, d.Revision
+			kind = budget.Urgent
 		}
 	}
-	n.send(b.Peer, reply)
+	n.send(b.Peer, reply, kind)
 }
 
 func (n *Node) ask() beat.Beat {
@@ -134,16 +141,43 @@
 	}
 	wall := time.Now()
 	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerBeat), wall)
-	for _, m := range n.pick(rumoursPerBeat) {
-		if m.Callers != "" {
-			b.Rumours = append(b.Rumours, members.Rumour{Peer: m.Peer, Age: now.Sub(m.Heard)})
+	for _, m := range n.members.Latest(rumoursPerBeat, now) {
+		if at, err := netip.ParseAddrPort(m.Peer); err == nil && at.Addr().Is4() {
+			ip := at.Addr().As4()
+			b.Rumours = append(b.Rumours, beat.Rumour{IP: binary.BigEndian.Uint32(ip[:]), Age: beat.MillisOf(now.Sub(m.Heard))})
 		}
 	}
 	return b
 }
 
-func (n *Node) send(to string, b beat.Beat) {
-	if err := n.beats.Send(to, b); err != nil {
+// rumours translates what a peer has heard into addresses at this fleet's port for peers.
+func (n *Node) rumours(list []beat.Rumour) []members.Rumour {
+	port := n.settings.Load().Instance.Peers.Port()
+	rumours := make([]members.Rumour, 0, len(list))
+	for _, r := range list {
+		var ip [4]byte
+		binary.BigEndian.PutUint32(ip[:], r.IP)
+		if peer := netip.AddrPortFrom(netip.AddrFrom4(ip), port).String(); peer != n.self {
+			rumours = append(rumours, members.Rumour{Peer: peer, Age: r.Age.Duration()})
+		}
+	}
+	return rumours
+}
+
+// send sends a beat within the control budget; loads and holders are left out first.
+func (n *Node) send(to string, b beat.Beat, kind budget.Kind) {
+	body := beat.Encode(b)
+	core := b
+	core.Loads, core.Holders = nil, nil
+	now := time.Now()
+	short := beat.Encode(core)
+	if !n.control.Spend(kind, len(short), now) {
+		return
+	}
+	if !n.control.Spend(budget.Sums, len(body)-len(short), now) {
+		body = short
+	}
+	if err := n.beats.Send(to, body); err != nil {
 		n.log.Debug("heartbeat not sent", zap.String("peer", to), zap.Error(err))
 	}
 }
@@ -160,7 +194,7 @@
 func (n *Node) noteHolders(list []beat.Holder, now time.Time) {
 	holders := make([]placing.Holder, len(list))
 	for i, h := range list {
-		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: now.Add(-h.Age)}
+		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: now.Add(-h.Age.Duration())}
 	}
 	n.table.NoteHolders(holders)
 }
@@ -168,7 +202,7 @@
 func holdersNow(list []placing.Holder, now time.Time) []beat.Holder {
 	holders := make([]beat.Holder, len(list))
 	for i, h := range list {
-		holders[i] = beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: now.Sub(h.At)}
+		holders[i] = beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: beat.MillisOf(now.Sub(h.At))}
 	}
 	return holders
 }
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
@@ -100,6 +101,7 @@
 		budget      *retries.Budget
 		client      *upstream.Client
 		beats       *beat.Conn
+		control     *budget.Budget
 		stopping    atomic.Bool
 		storeLost   atomic.Bool
 		hint        chan ahead
@@ -141,7 +143,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), beats: beats, hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), beats: beats, control: budget.New(now), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
--- a/process/entry/world.go
+++ b/process/entry/world.go
@@ -22,7 +22,7 @@
 	if age < 0 {
 		age = math.MaxInt64
 	}
-	return forward.World{Configuration: w.configuration, Engines: w.engines, ProofAge: age, Instances: len(n.members.Alive(now)) + 1}
+	return forward.World{Configuration: w.configuration, Engines: w.engines, ProofAge: age, Instances: n.members.Count()}
 }
 
 // apply takes changes of the store into the replica and into what requests are decided on.
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +22,13 @@
 )
 
 const (
-	// DeadAfter is the silence after which an instance is taken to be gone; it spans four heartbeats.
-	DeadAfter = time.Second
+	// deadAfter is the silence after which an instance of a small fleet is taken to be gone; it spans four rounds of heartbeats.
+	deadAfter = time.Second
+	// deadStep is added each time that the fleet is twice as large, since word of an instance takes more rounds, up to deadMost.
+	deadStep = 600 * time.Millisecond
+	deadMost = 3 * time.Second
+	// smallFleet is a size at which every instance hears of every other within deadAfter.
+	smallFleet = 9
 	// forgetAfter is the silence after which an instance is no longer asked.
 	forgetAfter = 30 * time.Second
 )
@@ -68,7 +74,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.members[peer]; !ok {
-		t.members[peer] = &Member{Peer: peer, Heard: now.Add(-2 * DeadAfter)}
+		t.members[peer] = &Member{Peer: peer, Heard: now.Add(-2 * deadMost)}
 	}
 }
 
@@ -92,16 +98,39 @@
 	for _, r := range list {
 		m, ok := t.members[r.Peer]
 		if !ok {
-			t.members[r.Peer] = &Member{Peer: r.Peer, Heard: now.Add(-2 * DeadAfter)}
+			t.members[r.Peer] = &Member{Peer: r.Peer, Heard: now.Add(-2 * deadMost)}
 			continue
 		}
 		m.Heard = max(m.Heard, now.Add(-r.Age))
 	}
 }
 
+// DeadAfter returns the silence after which an instance of a fleet is taken to be gone.
+func DeadAfter(size int) time.Duration {
+	more := max(math.Log2(float64(size)/smallFleet), 0)
+	return min(deadAfter+time.Duration(more*float64(deadStep)), deadMost)
+}
+
 // Alive returns the instances heard of within DeadAfter, in the order of their addresses.
 func (t *Table) Alive(now boottime.Instant) []Member {
-	return t.list(func(m *Member) bool { return m.Callers != "" && now.Sub(m.Heard) < DeadAfter })
+	t.mu.Lock()
+	silence := DeadAfter(len(t.members) + 1)
+	t.mu.Unlock()
+	return t.list(func(m *Member) bool { return m.Callers != "" && now.Sub(m.Heard) < silence })
+}
+
+// Count returns how many instances may be alive, this one included.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members) + 1
+}
+
+// Latest returns the living instances that were heard of last, at most limit of them.
+func (t *Table) Latest(limit int, now boottime.Instant) []Member {
+	list := t.Alive(now)
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(b.Heard, a.Heard) })
+	return list[:min(limit, len(list))]
 }
 
 // All returns the instances that may be alive, in the order of their addresses, and forgets those silent for long.
--- a/process/members/members_test.go
+++ b/process/members/members_test.go
@@ -22,9 +22,9 @@
 		want   int
 	}{
 		{"just heard", 0, 0, 1},
-		{"silent", DeadAfter, 0, 0},
-		{"silent here, heard by another", DeadAfter, DeadAfter / 2, 1},
-		{"silent for both", 3 * DeadAfter, 2 * DeadAfter, 0},
+		{"silent", deadAfter, 0, 0},
+		{"silent here, heard by another", deadAfter, deadAfter / 2, 1},
+		{"silent for both", 3 * deadAfter, 2 * deadAfter, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -70,3 +70,15 @@
 		t.Fatal("still known")
 	}
 }
+
+func TestSilenceGrowsWithTheFleetUpToABound(t *testing.T) {
+	tests := []struct {
+		size int
+		want time.Duration
+	}{{1, deadAfter}, {9, deadAfter}, {18, deadAfter + deadStep}, {940, deadMost}}
+	for _, tt := range tests {
+		if got := DeadAfter(tt.size); got != tt.want {
+			t.Errorf("%d instances: %s, want %s", tt.size, got, tt.want)
+		}
+	}
+}
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -3,11 +3,12 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/rank"
 )
 
 const (
@@ -21,8 +22,8 @@
 	loadTokens = 20
 	// fetchShare is the cost of moving a token of a prompt between engines, in tokens read.
 	fetchShare = 0.2
-	// rankTokens spreads chains that no engine holds over the engines, the same way at every instance.
-	rankTokens = 300
+	// rankTokens is the cost of each engine that instances prefer for a prompt that none holds, so that they agree without a word.
+	rankTokens = 1000
 	// domainTokens is the cost of another failure domain.
 	domainTokens = 50
 	// failureTokens is the cost of an engine that fails all of its requests.
@@ -31,7 +32,6 @@
 	failureLoad = 12
 	domainLoad  = 0.3
 	spreadLoad  = 0.5
-	percent     = 100
 	// rateStep is the weight of one first answer in the learnt reading rate, and rateTokens the least that tells of it.
 	rateStep   = 0.1
 	rateTokens = 1000
@@ -85,6 +85,7 @@
 	limit := t.policy.LoadBound*mean + loadAllowance
 	best := Choice{Cost: math.Inf(1)}
 	class := math.MaxInt
+	order := preferences(list, r.Parts, cold)
 	for i, e := range list {
 		if contains(r.Tried, e.ID) {
 			continue
@@ -93,7 +94,7 @@
 		c := t.cost(e, s, r, known, loads[i], now)
 		c.Mean = mean
 		if cold {
-			c.Cost += rankTokens * preference(e.Key, r.Parts)
+			c.Cost += rankTokens * float64(order[i])
 		}
 		rank := 0
 		if float64(loads[i]) > limit {
@@ -250,15 +251,21 @@
 	return 0
 }
 
-// preference returns a number from 0 to 10 that is the same at every instance for an engine and a prompt, leaving the request's own part out.
-func preference(key engines.Key, parts []Part) float64 {
-	chain := parts[max(len(parts)-2, 0)].Chain
-	var raw [8]byte
-	for i := range 4 {
-		raw[i] = byte(key >> (8 * i))
-		raw[4+i] = byte(chain >> (8 * i))
+// preferences returns the rank of each engine for a cold prompt, the same at every instance; the request's own part is left out.
+func preferences(list []engines.Engine, parts []Part, cold bool) []int {
+	if !cold {
+		return nil
 	}
-	return float64(xxhash.Sum64(raw[:])%(10*percent)) / percent
+	key := strconv.FormatUint(uint64(parts[len(parts)-2].Chain), 16)
+	candidates := make([]rank.Member, len(list))
+	for i, e := range list {
+		candidates[i] = rank.Member{Name: string(e.ID), Weight: 1}
+	}
+	order := make([]int, len(list))
+	for place, i := range rank.Order(key, candidates, len(candidates)) {
+		order[i] = place
+	}
+	return order
 }
 
 func tokens(parts []Part) int {
