feat: decision logs within a budget, metrics as text and expvar, and a command that explains a request

One line for each decision about a request (placed, retried, resumed, attempt failed, answered, refused, cut, cancelled) and for each change of what an instance believes, with its inputs and their age. Writing never waits for the reader; over the budget of a second, requests that went well are left out first, and what was left out is counted.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/process/entry"
 	"github.com/vanillaroute/vanillaroute/process/logs"
 	"go.uber.org/zap"
 )
 
+// logFlush bounds how long a stopping process waits for the reader of its logs.
+const logFlush = 100 * time.Millisecond
+
 type entryCmd struct {
 	cmd    *cobra.Command
 	config string
@@ -39,10 +41,13 @@
 	if err != nil {
 		return &settingsError{err}
 	}
-	log, err := logs.New(e.level, ident.Router(s.Instance.Name))
+	log, sink, err := logs.NewBounded(os.Stdout, e.level, s.Instance.Name, logs.Budget{Lines: logs.DefaultLines, Bytes: logs.DefaultBytes})
 	if err != nil {
 		return err
 	}
+	defer sink.Close(logFlush)
+	stopCounting := sink.CountLeftOut(log)
+	defer stopCounting()
 	n, err := entry.New(s, platform.New(s.Store.Address.String()), log, time.Now())
 	if err != nil {
 		return err
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -45,6 +45,7 @@
 	root.cmd.AddCommand(
 		newServeCmd().cmd,
 		newEntryCmd().cmd,
+		newExplainCmd().cmd,
 		newCheckCmd().cmd,
 		newListCmd(planList).cmd,
 		newListCmd(allowanceList).cmd,
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -13,7 +13,6 @@
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
-	"go.uber.org/zap"
 )
 
 const (
@@ -72,6 +71,8 @@
 		// stream is the answer's state once its head went to the caller.
 		stream *stream
 		reason string
+		// verdict says why the request was not offered again.
+		verdict string
 	}
 
 	// keptAnswer is a whole answer of an engine.
@@ -99,16 +100,16 @@
 		}
 		choice, work, ok := x.Table.Choose(world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: x.tried}, now)
 		if !ok {
-			x.reason = "no engine is left"
+			x.verdict = "no engine is left"
 			break
 		}
+		x.logPlaced(choice, world)
 		result := x.attempt(ctx, choice, work, now)
 		work.End()
-		x.Log.Debug("attempt", zap.String("request", string(x.id)), zap.String("engine", string(choice.Engine.ID)), zap.Int("result", int(result)),
-			zap.Int("cached", choice.Cached), zap.Int("fetched", choice.Fetched), zap.Int("reading", choice.Reading), zap.Any("parts", x.parts), zap.Int("load", choice.Load), zap.Float64("mean", choice.Mean), zap.Float64("cost", choice.Cost), zap.String("reason", x.reason))
 		if result == answered {
 			return
 		}
+		x.logFailed(choice, result)
 		x.tried = append(x.tried, choice.Engine.ID)
 	}
 	x.giveUp(ctx)
@@ -120,11 +121,18 @@
 		x.Budget.Request(x.service, now)
 		return true
 	}
-	if x.sends >= maxSends || (x.runs > 0 && (!x.route.Repeatable() || x.runs >= x.route.MaxEngines)) {
-		return false
+	switch {
+	case x.sends >= maxSends:
+		x.verdict = "offered too often"
+	case x.runs > 0 && !x.route.Repeatable():
+		x.verdict = "it may have run and may not run again"
+	case x.runs >= x.route.MaxEngines && x.runs > 0:
+		x.verdict = "as many engines as the route allows have had it"
+	case !x.Budget.Take(x.service, world.Instances, now):
+		x.verdict = "no budget for a repeat"
+		x.Metrics.Add("retriesOverBudget", 1)
 	}
-	if !x.Budget.Take(x.service, world.Instances, now) {
-		x.reason += "; no budget for a repeat"
+	if x.verdict != "" {
 		return false
 	}
 	return true
@@ -149,7 +157,9 @@
 	}
 	if resp.Header.Get(x.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		x.reason = "the engine refused with status " + strconv.Itoa(resp.Status)
-		x.Table.Failed(e, resp.Status == http.StatusMisdirectedRequest, time.Now())
+		if resp.Status == http.StatusMisdirectedRequest {
+			x.unreachable(e, time.Now())
+		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
 		return notRun
 	}
@@ -202,7 +212,7 @@
 	var unsent *upstream.NotSentError
 	if errors.As(err, &unsent) {
 		if !left {
-			x.Table.Failed(e, true, now)
+			x.unreachable(e, now)
 		}
 		return notRun
 	}
@@ -256,39 +266,34 @@
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write(a.body)
-	x.log("answered", status)
+	x.log(outcomeAnswered, status)
 }
 
 // giveUp writes the final answer of a request that no engine answered well.
 func (x *exchange) giveUp(ctx context.Context) {
 	if x.stream != nil {
-		x.log("cut", 0)
+		x.log(outcomeCut, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if x.r.Context().Err() != nil {
-		x.log("cancelled", 0)
+		x.log(outcomeCancelled, 0)
 		return
 	}
 	if x.kept != nil {
 		x.pass(x.kept)
 		return
 	}
-	no := refusal{status: http.StatusBadGateway, reason: x.reason}
+	no := refusal{status: http.StatusBadGateway, reason: x.verdict}
 	switch {
 	case x.runs == 0:
 		no.status, no.after = http.StatusServiceUnavailable, retryLater
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
-		no.status = http.StatusGatewayTimeout
+		no.status, no.reason = http.StatusGatewayTimeout, "the time allowed has passed"
 	}
-	x.log("refused", no.status)
+	x.log(outcomeRefused, no.status)
 	x.refuse(x.w, x.r, no)
 }
 
-func (x *exchange) log(outcome string, status int) {
-	x.Log.Info(outcome, zap.String("request", string(x.id)), zap.String("organisation", string(x.org)), zap.String("route", x.route.Name),
-		zap.Int("status", status), zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)), zap.String("reason", x.reason))
-}
-
 func copyAnswerHeader(to, from http.Header) {
 	closing := to.Get("Connection")
 	for name, values := range from {
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -39,19 +40,20 @@
 type (
 	// fixture is a handler before fake engines.
 	fixture struct {
-		front  *httptest.Server
-		runs   atomic.Int32
-		mu     sync.Mutex
-		heads  []http.Header
-		bodies []string
-		age    atomic.Int64
+		front   *httptest.Server
+		handler *Handler
+		runs    atomic.Int32
+		mu      sync.Mutex
+		heads   []http.Header
+		bodies  []string
+		age     atomic.Int64
 	}
 
 	// fakeEngine answers the n-th request of the whole fixture.
 	fakeEngine func(n int, w http.ResponseWriter, r *http.Request)
 )
 
-func newFixture(t *testing.T, route routing.Route, engine fakeEngine) *fixture {
+func newFixture(t testing.TB, route routing.Route, engine fakeEngine) *fixture {
 	t.Helper()
 	f := &fixture{}
 	var all []engines.Engine
@@ -75,20 +77,20 @@
 	route.MaxEngines = max(route.MaxEngines, 1)
 	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, nil, []routing.Organisation{{Name: "museum", Keys: []string{key}}})
 	list := engines.NewList(all)
-	h := New(Parts{
+	f.handler = New(Parts{
 		Names: testNames, Limits: Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second}, Table: placing.New(placing.Policy{LoadBound: 1.5}),
-		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Log: zap.NewNop(),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Metrics: metrics.NewText(), Log: zap.NewNop(),
 		World: func() World {
 			return World{Configuration: configuration, Engines: list, ProofAge: time.Duration(f.age.Load()), Instances: 3}
 		},
 		Closing: func() bool { return false },
 	})
-	f.front = httptest.NewServer(h)
+	f.front = httptest.NewServer(f.handler)
 	t.Cleanup(f.front.Close)
 	return f
 }
 
-func (f *fixture) send(t *testing.T, change func(*http.Request)) (*http.Response, string, error) {
+func (f *fixture) send(t testing.TB, change func(*http.Request)) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.front.URL+"/p/x%2Fy?q=1", strings.NewReader("body"))
 	if err != nil {
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -47,8 +47,9 @@
 			return
 		}
 	}
-	h.Log.Info("refused", zap.String("request", r.Header.Get(h.Names.RequestID)), zap.Int("status", no.status), zap.String("reason", no.reason),
-		zap.Duration("configurationAge", world.ProofAge), zap.Int64("configuration", versionOf(world)))
+	h.Metrics.Add(outcomeRefused, 1)
+	h.Log.Warn(outcomeRefused, zap.String("request", r.Header.Get(h.Names.RequestID)), zap.Int("status", no.status), zap.String("reason", no.reason),
+		zap.Int64("configuration", versionOf(world)), zap.Duration("configurationAgeMs", world.ProofAge))
 	h.refuse(w, r, *no)
 }
 
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -6,6 +6,8 @@
 
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -67,6 +69,7 @@
 		Table   *placing.Table
 		Budget  *retries.Budget
 		Client  *upstream.Client
+		Metrics *metrics.Text
 		Log     *zap.Logger
 		Closing func() bool
 	}
@@ -76,7 +79,10 @@
 )
 
 // New returns a handler.
-func New(p Parts) *Handler { return &Handler{Parts: p} }
+func New(p Parts) *Handler {
+	p.Log = p.Log.Named(logs.RequestLogger)
+	return &Handler{Parts: p}
+}
 
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -68,7 +68,7 @@
 		x.rearm(timer)
 		if err := x.sendEvent(resp, event); err != nil {
 			x.reason = "the caller left"
-			x.log("cancelled", 0)
+			x.log(outcomeCancelled, 0)
 			return answered
 		}
 	}
@@ -81,7 +81,7 @@
 			x.reason = "the stream was empty"
 			return lost
 		}
-		x.log("answered", http.StatusOK)
+		x.log(outcomeAnswered, http.StatusOK)
 		return answered
 	}
 	x.reason = "the stream broke off: " + err.Error()
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -39,7 +39,9 @@
 	for _, seed := range n.settings.Load().Instance.Seeds {
 		n.knowSeed(seed.Addr().String())
 	}
+	alive := make(map[string]bool)
 	for pause.For(ctx, beatPeriod) {
+		alive = n.logLost(alive)
 		for _, m := range n.pick(beatFanOut) {
 			n.send(m.Peer, n.ask(), budget.Membership)
 		}
@@ -47,6 +49,24 @@
 	return ctx.Err()
 }
 
+// logLost logs the instances that are no longer heard of, and those heard of again, and returns those that are.
+func (n *Node) logLost(before map[string]bool) map[string]bool {
+	now := boottime.Now()
+	alive := make(map[string]bool)
+	for _, m := range n.members.Alive(now) {
+		alive[m.Peer] = true
+		if !before[m.Peer] {
+			n.log.Info("peer heard", zap.String("peer", m.Peer), zap.Stringer("state", m.State))
+		}
+	}
+	for peer := range before {
+		if !alive[peer] {
+			n.log.Warn("peer lost", zap.String("peer", peer), zap.Duration("silenceMs", members.DeadAfter(n.members.Count())))
+		}
+	}
+	return alive
+}
+
 // knowSeed adds the instance at an IP number; all instances use the same port for peers.
 func (n *Node) knowSeed(ip string) {
 	peer := joinPort(ip, n.settings.Load().Instance.Peers.Port())
@@ -79,7 +99,7 @@
 		Peer: b.Peer, Callers: b.Callers, Domain: b.Domain, State: b.State, Incarnation: b.Incarnation, StoreLost: b.StoreLost, Warm: b.Warm, Heard: now,
 	})
 	if news {
-		n.log.Info("peer", zap.String("peer", b.Peer), zap.Int("state", int(b.State)))
+		n.log.Info("peer", zap.String("peer", b.Peer), zap.Stringer("state", b.State), zap.Int64("revision", int64(b.Revision)))
 	}
 	n.members.HeardBy(n.rumours(b.Rumours), now)
 	wall := time.Now()
--- /dev/null
+++ b/process/entry/metrics.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/process/members"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// serveMetrics serves counters and histograms as text, and the counters as expvar.
+func (n *Node) serveMetrics(ctx context.Context, group *errgroup.Group, address string) error {
+	n.gauges()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if _, err := n.metrics.WriteTo(w); err != nil {
+			n.log.Debug("metrics not written", zap.Error(err))
+		}
+	})
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, "{\"vanillaroute\": %s, \"memstats\": %s}\n", n.metrics.String(), expvar.Get("memstats").String())
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	return nil
+}
+
+func (n *Node) gauges() {
+	n.metrics.Gauge("configuration_version", func() float64 {
+		if c := n.world.Load().configuration; c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	n.metrics.Gauge("configuration_age_seconds", func() float64 { return n.proofAge(boottime.Now()).Seconds() })
+	n.metrics.Gauge("engines_ready", func() float64 { return float64(n.world.Load().engines.Ready()) })
+	n.metrics.Gauge("instances_alive", func() float64 { return float64(len(n.members.Alive(boottime.Now())) + 1) })
+	n.metrics.Gauge("control_bytes_sent", func() float64 { return float64(n.control.Usage().Total()) })
+	n.metrics.Gauge("ready", func() float64 {
+		if n.state() == members.Ready {
+			return 1
+		}
+		return 0
+	})
+}
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
@@ -102,6 +103,7 @@
 		client      *upstream.Client
 		beats       *beat.Conn
 		control     *budget.Budget
+		metrics     *metrics.Text
 		stopping    atomic.Bool
 		storeLost   atomic.Bool
 		hint        chan ahead
@@ -143,7 +145,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), beats: beats, control: budget.New(now), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), beats: beats, control: budget.New(now), metrics: metrics.NewText(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
@@ -177,7 +179,12 @@
 	group.Go(func() error { return n.register(groupCtx) })
 	group.Go(func() error { return n.sweep(groupCtx) })
 	group.Go(func() error { return n.warmUp(groupCtx) })
-	n.log.Info("started", zap.String("peer", n.self))
+	if address := s.Instance.Metrics; address.IsValid() {
+		if err := n.serveMetrics(groupCtx, group, address.String()); err != nil {
+			return err
+		}
+	}
+	n.log.Info("started", zap.String("peer", n.self), zap.String("failureDomain", string(s.Instance.FailureDomain)), zap.Bool("firstStart", s.Instance.FirstStart))
 	select {
 	case <-ctx.Done():
 		n.shutDown(work, callers)
@@ -204,7 +211,7 @@
 func (n *Node) handler(s *Settings) http.Handler {
 	return forward.New(forward.Parts{
 		Names: n.platform.Names, Limits: forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}, Domain: s.Instance.FailureDomain,
-		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Log: n.log, Closing: n.stopping.Load,
+		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
 	})
 }
 
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -45,6 +45,7 @@
 				n.log.Warn("store lost", zap.Error(err))
 			}
 			failures++
+			n.metrics.Add("storeReadsFailed", 1)
 			n.storeLost.Store(failures > 1)
 			pause.For(ctx, min(failPause<<min(failures-1, 3), failPauseMost))
 			continue
@@ -84,6 +85,7 @@
 
 // readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
 func (n *Node) readOnce(ctx context.Context) error {
+	n.metrics.Add("storeReads", 1)
 	sent := boottime.Now()
 	revision, _, loaded := n.mirror.State()
 	if loaded {
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -23,13 +23,15 @@
 	// Settings are those of one instance, as the deploy file's template writes them.
 	Settings struct {
 		Instance struct {
-			Name          string             `toml:"name"`
-			FailureDomain ident.Domain       `toml:"failureDomain"`
-			Callers       tomlfile.Address   `toml:"callers"`
-			Ready         tomlfile.Address   `toml:"ready"`
-			Directory     tomlfile.Address   `toml:"directory"`
-			Peers         tomlfile.Address   `toml:"peers"`
-			Seeds         []tomlfile.Address `toml:"seeds"`
+			Name          string           `toml:"name"`
+			FailureDomain ident.Domain     `toml:"failureDomain"`
+			Callers       tomlfile.Address `toml:"callers"`
+			Ready         tomlfile.Address `toml:"ready"`
+			Directory     tomlfile.Address `toml:"directory"`
+			Peers         tomlfile.Address `toml:"peers"`
+			// Metrics is where counters are served; without it they are not.
+			Metrics tomlfile.Address   `toml:"metrics"`
+			Seeds   []tomlfile.Address `toml:"seeds"`
 			// FirstStart says that the whole fleet starts for the first time, so that there is nothing to learn of engines.
 			FirstStart bool `toml:"firstStart"`
 		} `toml:"instance"`
--- /dev/null
+++ b/process/logs/bounded.go
@@ -0,0 +1,177 @@
+package logs
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// RequestLogger names the logger of lines about requests; those at info level are about requests that went well.
+	RequestLogger = "request"
+
+	// DefaultLines and DefaultBytes are the budget of a second: 64 requests of four lines each, at 512 bytes a line.
+	DefaultLines = 256
+	DefaultBytes = 128 << 10
+	// burstSeconds is how much of the budget may be saved up.
+	burstSeconds = 2
+	// successReserve is the part of the budget that lines about requests that went well leave to others.
+	successReserve = 0.5
+	// countPeriod is the pause between two counts of lines left out.
+	countPeriod = 5 * time.Second
+	// queued is how many lines may wait for a reader of standard output.
+	queued = 512
+)
+
+type (
+	// Budget bounds what a process logs in a second.
+	Budget struct{ Lines, Bytes float64 }
+
+	// Bounded writes log lines without ever waiting for their reader; what does not fit is left out and counted.
+	Bounded struct {
+		out    io.Writer
+		lines  chan []byte
+		budget Budget
+		mu     sync.Mutex
+		saved  Budget
+		at     boottime.Instant
+		// Left out are lines about requests that went well, other lines, and lines that nobody read in time.
+		sampled, refused, unread atomic.Int64
+	}
+
+	// boundedCore is the core of a logger on a Bounded.
+	boundedCore struct {
+		zapcore.LevelEnabler
+		encoder zapcore.Encoder
+		sink    *Bounded
+	}
+)
+
+// NewBounded returns a logger that writes JSON lines within a budget, and fails on an unknown level; the Bounded is to be closed at the end.
+func NewBounded(out io.Writer, level, instance string, budget Budget) (*zap.Logger, *Bounded, error) {
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "log level")
+	}
+	b := &Bounded{out: out, lines: make(chan []byte, queued), budget: budget, saved: budget.times(burstSeconds), at: boottime.Now()}
+	go b.write()
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeDuration = zapcore.MillisDurationEncoder
+	core := &boundedCore{LevelEnabler: parsed, encoder: zapcore.NewJSONEncoder(cfg), sink: b}
+	return zap.New(core).With(zap.String("instance", instance)), b, nil
+}
+
+// LeftOut returns how many lines were left out since the last call: about requests that went well, others, and unread ones.
+func (b *Bounded) LeftOut() (sampled, refused, unread int64) {
+	return b.sampled.Swap(0), b.refused.Swap(0), b.unread.Swap(0)
+}
+
+// CountLeftOut logs from time to time how many lines were left out, until the function that it returns is called.
+func (b *Bounded) CountLeftOut(log *zap.Logger) func() {
+	ticker := time.NewTicker(countPeriod)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				if sampled, refused, unread := b.LeftOut(); sampled+refused+unread > 0 {
+					log.Warn("log lines left out", zap.Int64("sampled", sampled), zap.Int64("overBudget", refused), zap.Int64("unread", unread))
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+	}
+}
+
+// Close writes what waits, for a time at most.
+func (b *Bounded) Close(atMost time.Duration) {
+	deadline := time.Now().Add(atMost)
+	for len(b.lines) > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (b *Bounded) write() {
+	for line := range b.lines {
+		if _, err := b.out.Write(line); err != nil {
+			b.unread.Add(1)
+		}
+	}
+}
+
+// allow reports whether a line is within the budget.
+func (b *Bounded) allow(bytes int, wentWell bool, now boottime.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	passed := max(now.Sub(b.at).Seconds(), 0)
+	b.at = now
+	b.saved.Lines = min(b.saved.Lines+passed*b.budget.Lines, b.budget.Lines*burstSeconds)
+	b.saved.Bytes = min(b.saved.Bytes+passed*b.budget.Bytes, b.budget.Bytes*burstSeconds)
+	reserve := Budget{}
+	if wentWell {
+		reserve = b.budget.times(burstSeconds * successReserve)
+	}
+	if b.saved.Lines-1 < reserve.Lines || b.saved.Bytes-float64(bytes) < reserve.Bytes {
+		return false
+	}
+	b.saved.Lines--
+	b.saved.Bytes -= float64(bytes)
+	return true
+}
+
+func (b Budget) times(x float64) Budget { return Budget{Lines: b.Lines * x, Bytes: b.Bytes * x} }
+
+// With returns a core that adds fields to each line.
+func (c *boundedCore) With(fields []zapcore.Field) zapcore.Core {
+	clone := &boundedCore{LevelEnabler: c.LevelEnabler, encoder: c.encoder.Clone(), sink: c.sink}
+	for _, f := range fields {
+		f.AddTo(clone.encoder)
+	}
+	return clone
+}
+
+// Check adds the core where the level is logged.
+func (c *boundedCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write encodes a line and queues it, or leaves it out.
+func (c *boundedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	buffer, err := c.encoder.EncodeEntry(e, fields)
+	if err != nil {
+		return err
+	}
+	defer buffer.Free()
+	wentWell := e.LoggerName == RequestLogger && e.Level <= zapcore.InfoLevel
+	if !c.sink.allow(buffer.Len(), wentWell, boottime.Now()) {
+		if wentWell {
+			c.sink.sampled.Add(1)
+		} else {
+			c.sink.refused.Add(1)
+		}
+		return nil
+	}
+	select {
+	case c.sink.lines <- append([]byte(nil), buffer.Bytes()...):
+	default:
+		c.sink.unread.Add(1)
+	}
+	return nil
+}
+
+// Sync does nothing, since lines are written as soon as they are read.
+func (c *boundedCore) Sync() error { return nil }
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -66,6 +66,19 @@
 	}
 )
 
+// String returns the name that logs use.
+func (s State) String() string {
+	switch s {
+	case Starting:
+		return "starting"
+	case Ready:
+		return "ready"
+	case Stopping:
+		return "stopping"
+	}
+	return "unknown"
+}
+
 // New returns an empty table.
 func New() *Table { return &Table{members: make(map[string]*Member)} }
 
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -177,8 +177,8 @@
 	s.report, s.reportedAt = r, now
 }
 
-// Failed notes that an engine failed a request; one that could not be reached is left alone for a while, longer each time.
-func (t *Table) Failed(e engines.Engine, unreachable bool, now time.Time) {
+// Failed notes that an engine failed a request; one that could not be reached is left alone for a while, longer each time, which is returned.
+func (t *Table) Failed(e engines.Engine, unreachable bool, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(e.Key)
@@ -187,7 +187,9 @@
 	if unreachable && now.After(s.heldUntil) {
 		s.hold = min(max(2*s.hold, holdFirst), holdMost)
 		s.heldUntil = now.Add(s.hold)
+		return s.hold
 	}
+	return 0
 }
 
 // Answered notes a good answer of an engine.
