--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -154,6 +154,7 @@
 
 // Run serves until ctx ends, then finishes what is in progress and returns.
 func (n *Node) Run(ctx context.Context) error {
+	began := time.Now()
 	s := n.settings.Load()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -195,7 +196,7 @@
 	_ = ready.Close()
 	_ = directory.Close()
 	err := group.Wait()
-	n.log.Info("stopped")
+	n.log.Info("stopped", zap.Int64("controlBytes", n.control.Usage().Total()), zap.Duration("ranMs", time.Since(began)))
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/process/logs/bounded.go
+++ b/process/logs/bounded.go
@@ -41,6 +41,8 @@
 		mu     sync.Mutex
 		saved  Budget
 		at     boottime.Instant
+		// waiting counts lines that are not written yet.
+		waiting atomic.Int64
 		// Left out are lines about requests that went well, other lines, and lines that nobody read in time.
 		sampled, refused, unread atomic.Int64
 	}
@@ -97,7 +99,7 @@
 // Close writes what waits, for a time at most.
 func (b *Bounded) Close(atMost time.Duration) {
 	deadline := time.Now().Add(atMost)
-	for len(b.lines) > 0 && time.Now().Before(deadline) {
+	for b.waiting.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -107,6 +109,7 @@
 		if _, err := b.out.Write(line); err != nil {
 			b.unread.Add(1)
 		}
+		b.waiting.Add(-1)
 	}
 }
 
@@ -165,9 +168,11 @@
 		}
 		return nil
 	}
+	c.sink.waiting.Add(1)
 	select {
 	case c.sink.lines <- append([]byte(nil), buffer.Bytes()...):
 	default:
+		c.sink.waiting.Add(-1)
 		c.sink.unread.Add(1)
 	}
 	return nil
