perf(placing): loads that engines state are shared, and loaded engines are left with a growing chance

A played crowd (77 instances, 140 engines, no network) shows why: counts of other instances reach each instance late and in part, all move to the same engine at once, and spilled prompts go to any engine. Ruled out: the choice of the bound alone (1.25 to 1.75 changes the played crowd by less than one in 100). Change: heartbeats carry the highest loads that engines stated themselves; an engine over the soft bound is left with a chance that grows up to the hard one; spilled prompts follow the rank, and fetch from the engine of rank 0; announcements are the core of a heartbeat, at most ten a second; questions carry holders and answers rumours.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -51,7 +51,9 @@
 		// Changes bring the receiver's replica to Revision where they fit.
 		Changes []mirror.Entry
 		Changed bool
+		// Loads are the sender's own requests at engines that state no load, and Stated what the others stated to it.
 		Loads   map[engines.Key]int
+		Stated  []Load
 		Holders []Holder
 		Rumours []Rumour
 	}
@@ -65,6 +67,13 @@
 		Age Millis
 	}
 
+	// Load is the load that an engine stated, with the time since.
+	Load struct {
+		Engine   engines.Key
+		Requests int
+		Age      Millis
+	}
+
 	// Holder is an engine that has read a chain, with the time since.
 	Holder struct {
 		Chain  placing.Chain
@@ -125,11 +134,11 @@
 		b.Changes, b.Changed = nil, false
 		body = wire.Encode(b)
 	}
-	for len(body) > MaxDatagram && len(b.Holders)+len(b.Rumours)+len(b.Loads) > 0 {
+	for len(body) > MaxDatagram && len(b.Holders)+len(b.Rumours)+len(b.Loads)+len(b.Stated) > 0 {
 		b.Holders = b.Holders[:len(b.Holders)/2]
 		b.Rumours = b.Rumours[:len(b.Rumours)/2]
 		if len(b.Holders)+len(b.Rumours) == 0 {
-			b.Loads = nil
+			b.Loads, b.Stated = nil, nil
 		}
 		body = wire.Encode(b)
 	}
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -188,7 +188,7 @@
 	if x.stream != nil && x.stream.last != "" {
 		header.Set(x.Names.LastEvent, x.stream.last)
 	}
-	if source, ok := x.World().Engines.Get(choice.Source); ok && choice.Fetched >= leastFetch && x.Names.FetchFrom != "" {
+	if source, ok := x.World().Engines.Get(choice.Source); ok && (choice.Guessed || choice.Fetched >= leastFetch) && x.Names.FetchFrom != "" {
 		header.Set(x.Names.FetchFrom, source.Address)
 	}
 	idle := reuseIdle
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -23,11 +23,16 @@
 	beatFanOut = 2
 	// announceFanOut is how many instances are asked at once where something changed.
 	announceFanOut = 16
-	// holdersPerBeat and rumoursPerBeat keep a beat within the control budget.
-	holdersPerBeat = 24
-	rumoursPerBeat = 10
+	// announcePause is the least time between two such rounds; changes in between wait for the next heartbeats.
+	announcePause = 100 * time.Millisecond
+	// holdersPerBeat, in questions, and rumoursPerBeat, in answers, keep beats within the control budget.
+	holdersPerBeat = 16
+	rumoursPerBeat = 8
 	// holderSpan is how far back the holders of a beat reach; in that time it meets nearly all instances of a small fleet.
 	holderSpan = 1200 * time.Millisecond
+	// statedPerBeat is how many engines' loads travel in a beat, the highest first, and statedSpan how far back they reach.
+	statedPerBeat = 8
+	statedSpan    = 600 * time.Millisecond
 	// maxHolders bounds what a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
 	// inlineChanges is how many changes may travel in a beat.
@@ -75,10 +80,14 @@
 	}
 }
 
-// announce sends a heartbeat to as many instances at once as one round does, because something changed.
-func (n *Node) announce() {
+// announce tells as many instances as one round allows that this one's state or replica has changed; they ask for what they lack.
+func (n *Node) announce(now boottime.Instant) {
+	last := boottime.Instant(n.announced.Load())
+	if now.Sub(last) < announcePause || !n.announced.CompareAndSwap(int64(last), int64(now)) {
+		return
+	}
 	for _, m := range n.pick(announceFanOut) {
-		n.send(m.Peer, n.ask(), budget.Urgent)
+		n.send(m.Peer, n.core(), budget.Urgent)
 	}
 }
 
@@ -104,6 +113,11 @@
 	n.members.HeardBy(n.rumours(b.Rumours), now)
 	wall := time.Now()
 	n.table.NoteLoads(b.Peer, b.Loads, wall)
+	stated := make([]placing.Load, len(b.Stated))
+	for i, l := range b.Stated {
+		stated[i] = placing.Load{Engine: l.Engine, Requests: l.Requests, At: wall.Add(-l.Age.Duration())}
+	}
+	n.table.NoteStated(stated)
 	n.noteHolders(b.Holders, wall)
 	if b.Answer > 0 {
 		n.takeProof(b)
@@ -133,8 +147,7 @@
 
 // answer sends this instance's state to one that asked, with the changes that it lacks if they are few.
 func (n *Node) answer(b beat.Beat) {
-	reply := n.beat()
-	reply.Answer = b.Ask
+	reply := n.reply(b.Ask)
 	kind := budget.Membership
 	if b.Revision > 0 && b.Revision < reply.Revision {
 		if d := n.mirror.Since(b.Revision); !d.Full && len(d.Entries) <= inlineChanges {
@@ -145,28 +158,44 @@
 	n.send(b.Peer, reply, kind)
 }
 
+// ask returns a question, with what this instance has learnt of prompts.
 func (n *Node) ask() beat.Beat {
-	b := n.beat()
+	b := n.withLoads(n.core())
+	wall := time.Now()
+	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerBeat), wall)
 	b.Ask = boottime.Now()
 	return b
 }
 
-func (n *Node) beat() beat.Beat {
-	s := n.settings.Load()
+// reply returns an answer, with what this instance has heard of others.
+func (n *Node) reply(asked boottime.Instant) beat.Beat {
+	b := n.withLoads(n.core())
 	now := boottime.Now()
-	revision, _, _ := n.mirror.State()
-	b := beat.Beat{
-		Peer: n.self, Callers: s.Instance.Callers.String(), Domain: s.Instance.FailureDomain, State: n.state(), Incarnation: n.incarnation,
-		StoreLost: n.storeLost.Load(), Warm: n.warm.Load(), Revision: revision, ProofAge: n.proofAge(now), Loads: n.table.Loads(),
-	}
-	wall := time.Now()
-	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerBeat), wall)
 	for _, m := range n.members.Latest(rumoursPerBeat, now) {
 		if at, err := netip.ParseAddrPort(m.Peer); err == nil && at.Addr().Is4() {
 			ip := at.Addr().As4()
 			b.Rumours = append(b.Rumours, beat.Rumour{IP: binary.BigEndian.Uint32(ip[:]), Age: beat.MillisOf(now.Sub(m.Heard))})
 		}
 	}
+	b.Answer = asked
+	return b
+}
+
+func (n *Node) core() beat.Beat {
+	s := n.settings.Load()
+	revision, _, _ := n.mirror.State()
+	return beat.Beat{
+		Peer: n.self, Callers: s.Instance.Callers.String(), Domain: s.Instance.FailureDomain, State: n.state(), Incarnation: n.incarnation,
+		StoreLost: n.storeLost.Load(), Warm: n.warm.Load(), Revision: revision, ProofAge: n.proofAge(boottime.Now()),
+	}
+}
+
+func (n *Node) withLoads(b beat.Beat) beat.Beat {
+	wall := time.Now()
+	b.Loads = n.table.Loads(wall)
+	for _, l := range n.table.Stated(wall.Add(-statedSpan), statedPerBeat) {
+		b.Stated = append(b.Stated, beat.Load{Engine: l.Engine, Requests: l.Requests, Age: beat.MillisOf(wall.Sub(l.At))})
+	}
 	return b
 }
 
@@ -188,7 +217,7 @@
 func (n *Node) send(to string, b beat.Beat, kind budget.Kind) {
 	body := beat.Encode(b)
 	core := b
-	core.Loads, core.Holders = nil, nil
+	core.Loads, core.Stated, core.Holders = nil, nil, nil
 	now := time.Now()
 	short := beat.Encode(core)
 	if !n.control.Spend(kind, len(short), now) {
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -108,6 +108,8 @@
 		storeLost   atomic.Bool
 		hint        chan ahead
 		warm        atomic.Bool
+		// announced is when this instance last told others of a change.
+		announced atomic.Int64
 
 		world         atomic.Pointer[world]
 		worldMu       sync.Mutex
@@ -221,7 +223,7 @@
 	s := n.settings.Load()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
-	n.announce()
+	n.announce(boottime.Now())
 	ctx, cancel := context.WithTimeout(ctx, s.Bounds.Shutdown.Std()-stopMargin)
 	defer cancel()
 	pause.For(ctx, lingerFactor*min(addressValidity, s.Bounds.MaxAddressValidity.Std()))
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -122,7 +122,7 @@
 // news applies what was read and lets the other instances know.
 func (n *Node) news(d mirror.Delta, proven boottime.Instant) {
 	if n.apply(d, proven) {
-		n.announce()
+		n.announce(boottime.Now())
 	}
 }
 
@@ -149,7 +149,7 @@
 		return
 	}
 	if f.ProofAge >= 0 && f.Delta.Revision >= revision {
-		n.apply(f.Delta, asked.Add(-f.ProofAge))
+		n.news(f.Delta, asked.Add(-f.ProofAge))
 	}
 }
 
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -18,12 +18,17 @@
 	tolerated = 0.3
 	// loadAllowance is how many requests above the bound an engine may hold, so that small counts don't bind.
 	loadAllowance = 2
+	// softBound and softAllowance are the multiple of the mean, and the requests beside, that an engine may hold before any is sent elsewhere.
+	softBound     = 1.25
+	softAllowance = 2
+	// jitterTokens spreads instances over engines that hold a prompt alike.
+	jitterTokens = 60
 	// loadTokens is what one running request delays another one, in tokens of prompt read.
 	loadTokens = 20
 	// fetchShare is the cost of moving a token of a prompt between engines, in tokens read.
 	fetchShare = 0.2
-	// rankTokens is the cost of each engine that instances prefer for a prompt that none holds, so that they agree without a word.
-	rankTokens = 1000
+	// rankTokens is the cost of each engine that instances prefer for a prompt to one that doesn't hold it, so that they agree without a word.
+	rankTokens = 600
 	// domainTokens is the cost of another failure domain.
 	domainTokens = 50
 	// failureTokens is the cost of an engine that fails all of its requests.
@@ -56,6 +61,8 @@
 		// Source is an engine that holds more of the prompt, Fetched tokens beyond Cached, or 0.
 		Source  engines.Key
 		Fetched int
+		// Guessed says that Source is only the engine that instances prefer for the prompt, which may hold it.
+		Guessed bool
 		// Reading is how many tokens the engine has to read before the first answer.
 		Reading int
 		// Load and Mean are the requests at the engine and at its service's engines on average.
@@ -81,11 +88,13 @@
 	list := all.Of(r.Service)
 	loads, mean := t.loads(list, now)
 	known := t.longest(all, r.Parts, now)
-	cold := len(r.Parts) > 1 && known.tokens < tokens(r.Parts[:len(r.Parts)-1])
+	cold := known.tokens < sharedTokens(r.Parts)
 	limit := t.policy.LoadBound*mean + loadAllowance
+	// Other instances decide on the same figures, so each leaves a loaded engine with a chance that grows up to the limit.
+	limit -= rand.Float64() * max(limit-softBound*mean-softAllowance, 0)
 	best := Choice{Cost: math.Inf(1)}
 	class := math.MaxInt
-	order := preferences(list, r.Parts, cold)
+	order := preferences(list, r.Parts)
 	for i, e := range list {
 		if contains(r.Tried, e.ID) {
 			continue
@@ -93,7 +102,7 @@
 		s := t.state(e.Key)
 		c := t.cost(e, s, r, known, loads[i], now)
 		c.Mean = mean
-		if cold {
+		if shared := sharedTokens(r.Parts); c.Cached < shared {
 			c.Cost += rankTokens * float64(order[i])
 		}
 		rank := 0
@@ -110,9 +119,21 @@
 	if class == math.MaxInt {
 		return Choice{}, nil, false
 	}
+	if cold {
+		best.guess(list, order)
+	}
 	return best, t.begin(best, r, now), true
 }
 
+// guess names the engine that all instances prefer for a prompt as its source, where another one was chosen.
+func (c *Choice) guess(list []engines.Engine, order []int) {
+	for i, e := range list {
+		if order[i] == 0 && e.Key != c.Engine.Key {
+			c.Source, c.Guessed = e.Key, true
+		}
+	}
+}
+
 // Started notes that the engine has read the prompt.
 func (w *Work) Started(now time.Time) {
 	t := w.table
@@ -152,6 +173,7 @@
 	w := &Work{table: t, key: key, reading: tokens(r.Parts) - c.Cached - c.Fetched, begun: now}
 	s := t.state(key)
 	s.running++
+	s.begun++
 	s.reading += w.reading
 	for i, p := range r.Parts {
 		h := Holder{Chain: p.Chain, Engine: key, At: now}
@@ -181,8 +203,8 @@
 				n += r.loads[key]
 			}
 		}
-		if now.Sub(s.reportedAt) < reportLife {
-			n = max(n, s.report.Running+s.report.Waiting)
+		if now.Sub(s.statedAt) < reportLife {
+			n = s.stated + s.begun
 		}
 		loads[i] = n
 		sum += n
@@ -193,7 +215,7 @@
 func (t *Table) cost(e engines.Engine, s *state, r Request, known held, load int, now time.Time) Choice {
 	c := Choice{Engine: e, Load: load}
 	slow := 1.0
-	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < reportLife {
+	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < slownessLife {
 		slow = max(s.report.Slowness, 1)
 	}
 	away := 0.0
@@ -211,7 +233,7 @@
 	}
 	c.Reading = tokens(r.Parts) - c.Cached - c.Fetched + s.reading
 	work := float64(c.Reading) + fetchShare*float64(c.Fetched) + loadTokens*float64(load)
-	c.Cost = slow*work + failureTokens*failing + domainTokens*away
+	c.Cost = slow*work + failureTokens*failing + domainTokens*away + jitterTokens*rand.Float64()
 	return c
 }
 
@@ -251,10 +273,13 @@
 	return 0
 }
 
-// preferences returns the rank of each engine for a cold prompt, the same at every instance; the request's own part is left out.
-func preferences(list []engines.Engine, parts []Part, cold bool) []int {
-	if !cold {
-		return nil
+// sharedTokens returns the tokens of a prompt without the request's own part.
+func sharedTokens(parts []Part) int { return tokens(parts[:max(len(parts)-1, 0)]) }
+
+// preferences returns the rank of each engine for a prompt, the same at every instance; the request's own part is left out.
+func preferences(list []engines.Engine, parts []Part) []int {
+	if len(parts) < 2 {
+		return make([]int, len(list))
 	}
 	key := strconv.FormatUint(uint64(parts[len(parts)-2].Chain), 16)
 	candidates := make([]rank.Member, len(list))
--- /dev/null
+++ b/request/placing/load_test.go
@@ -0,0 +1,139 @@
+package placing
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+type (
+	// crowd is a load for a fleet whose instances learn of each other's engines by a few heartbeats a second.
+	crowd struct {
+		instances, engines int
+		// perSecond is the rate of all requests, hot the share of them that ask about one subject.
+		perSecond float64
+		hot       float64
+		subjects  int
+		lasts     time.Duration
+	}
+
+	ending struct {
+		at     time.Time
+		engine ident.Engine
+		work   *Work
+	}
+
+	endings []ending
+)
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// play returns the share of arrivals at engines that hold more than factor times the mean and three, and the share of prompts that were at the engine chosen or at the one that it fetches from, of those that any engine had read.
+func (c crowd) play(t *testing.T, factor float64, seed uint64) (over, cached float64) {
+	t.Helper()
+	const span, beat, fanOut, told = 15 * time.Second, 250 * time.Millisecond, 2, 10
+	draws := rand.New(rand.NewPCG(seed, 1))
+	all := engines.NewList(list(llm, c.engines))
+	tables := make([]*Table, c.instances)
+	for i := range tables {
+		tables[i] = New(Policy{LoadBound: 1.5})
+	}
+	loads := make(map[ident.Engine]int)
+	read := make(map[string]map[ident.Engine]bool)
+	var running endings
+	sent, arrivals, above, hits, prompts := 0, 0, 0, 0, 0
+	step := time.Duration(float64(time.Second) / c.perSecond)
+	beatAt := start
+	for now := start; now.Before(start.Add(span)); now = now.Add(step) {
+		for len(running) > 0 && !running[0].at.After(now) {
+			done := heap.Pop(&running).(ending)
+			loads[done.engine]--
+			done.work.End()
+		}
+		for ; !beatAt.After(now); beatAt = beatAt.Add(beat) {
+			for _, from := range tables {
+				for range 2 * fanOut {
+					to := tables[draws.IntN(len(tables))]
+					to.NoteStated(from.Stated(now.Add(-600*time.Millisecond), told))
+					to.NoteHolders(from.Recent(now.Add(-1200*time.Millisecond), 24))
+				}
+			}
+		}
+		sent++
+		subject := fmt.Sprint("s", draws.IntN(c.subjects))
+		if draws.Float64() < c.hot {
+			subject = "hot"
+		}
+		table := tables[draws.IntN(len(tables))]
+		parts := Parts([]string{"first", subject, fmt.Sprint("own", sent)}, []int{2500, 6000, 500}, "m")
+		choice, work, ok := table.Choose(all, Request{Service: llm, Parts: parts}, now)
+		if !ok {
+			t.Fatal("no engine was chosen")
+		}
+		load, mean := loads[choice.Engine.ID], float64(len(running))/float64(c.engines)
+		if now.After(start.Add(span / 3)) {
+			arrivals++
+			if len(read[subject]) > 0 {
+				prompts++
+			}
+			source, _ := all.Get(choice.Source)
+			if read[subject][choice.Engine.ID] || read[subject][source.ID] {
+				hits++
+			}
+			if float64(load) > factor*mean+3 {
+				above++
+			}
+		}
+		if read[subject] == nil {
+			read[subject] = make(map[ident.Engine]bool)
+		}
+		read[subject][choice.Engine.ID] = true
+		loads[choice.Engine.ID]++
+		work.Started(now)
+		lasts := time.Duration((0.5 + draws.Float64()) * float64(c.lasts))
+		heap.Push(&running, ending{at: now.Add(lasts), engine: choice.Engine.ID, work: work})
+		table.NoteReport(choice.Engine, Report{Running: loads[choice.Engine.ID]}, now)
+	}
+	return float64(above) / float64(arrivals), float64(hits) / float64(prompts)
+}
+
+// TestManyInstancesKeepTheBound plays crowds against fleets whose instances know of each other's choices late and in part. The platform
+// allows 3 in 100 arrivals above twice the mean and three; 95 in 100 is the aim for reuse against rendezvous without a bound, which has all.
+func TestManyInstancesKeepTheBound(t *testing.T) {
+	tests := []struct {
+		name   string
+		crowd  crowd
+		cached float64
+	}{
+		{"nine instances, even", crowd{instances: 9, engines: 9, perSecond: 70, subjects: 100, lasts: 800 * time.Millisecond}, 0.95},
+		{"nine instances, one hot subject", crowd{instances: 9, engines: 9, perSecond: 100, hot: 0.25, subjects: 100, lasts: 800 * time.Millisecond}, 0.95},
+		{"77 instances, even", crowd{instances: 77, engines: 140, perSecond: 800, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
+		{"77 instances, one hot subject", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.1, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
+		{"77 instances, few subjects", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.05, subjects: 60, lasts: 800 * time.Millisecond}, 0.95},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			over, cached := tt.crowd.play(t, 2, 7)
+			t.Logf("%.1f in 100 above the bound, %.0f in 100 prompts cached", 100*over, 100*cached)
+			if over > 0.03 {
+				t.Errorf("%.1f in 100 arrivals above the bound", 100*over)
+			}
+			if cached < tt.cached {
+				t.Errorf("%.0f in 100 prompts cached, want %.0f", 100*cached, 100*tt.cached)
+			}
+		})
+	}
+}
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -1,7 +1,9 @@
 package placing
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +26,10 @@
 	holderLife = 60 * time.Second
 	// remoteLife is how long the count of another instance is believed.
 	remoteLife = 2 * time.Second
-	// reportLife is how long the load that an engine stated is believed.
-	reportLife = 400 * time.Millisecond
+	// reportLife is how long the load that an engine stated is believed; requests last about as long.
+	reportLife = 1500 * time.Millisecond
+	// slownessLife is how long the slowness that an engine stated is believed, which changes many times a second.
+	slownessLife = 400 * time.Millisecond
 	// failureHalfLife is the time in which the memory of a failure halves.
 	failureHalfLife = 3 * time.Second
 	holdFirst       = 300 * time.Millisecond
@@ -56,6 +60,13 @@
 		Slowness float64
 	}
 
+	// Load is the load of an engine at a time, by its own report.
+	Load struct {
+		Engine   engines.Key
+		Requests int
+		At       time.Time
+	}
+
 	// Table is what one instance knows of the engines.
 	Table struct {
 		mu      sync.Mutex
@@ -81,11 +92,15 @@
 		reading    int
 		report     Report
 		reportedAt time.Time
-		failing    float64
-		failedAt   time.Time
-		hold       time.Duration
-		heldUntil  time.Time
-		answered   time.Time
+		// stated is the load by the latest report of any instance, and begun what this instance has sent since.
+		stated    int
+		statedAt  time.Time
+		begun     int
+		failing   float64
+		failedAt  time.Time
+		hold      time.Duration
+		heldUntil time.Time
+		answered  time.Time
 	}
 
 	remote struct {
@@ -117,13 +132,13 @@
 	return parts
 }
 
-// Loads returns how many requests of this instance run at each engine.
-func (t *Table) Loads() map[engines.Key]int {
+// Loads returns how many requests of this instance run at each engine that states no load itself.
+func (t *Table) Loads(now time.Time) map[engines.Key]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads := make(map[engines.Key]int)
 	for k, s := range t.engines {
-		if s.running > 0 {
+		if s.running > 0 && now.Sub(s.statedAt) > reportLife {
 			loads[k] = s.running
 		}
 	}
@@ -175,6 +190,32 @@
 	defer t.mu.Unlock()
 	s := t.state(e.Key)
 	s.report, s.reportedAt = r, now
+	s.state(r.Running+r.Waiting, now)
+}
+
+// NoteStated takes loads that engines stated to other instances.
+func (t *Table) NoteStated(list []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range list {
+		if s := t.state(l.Engine); l.At.After(s.statedAt) {
+			s.state(l.Requests, l.At)
+		}
+	}
+}
+
+// Stated returns the highest loads that engines stated to this instance since a time, at most limit of them.
+func (t *Table) Stated(since time.Time, limit int) []Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Load
+	for k, s := range t.engines {
+		if s.reportedAt.After(since) {
+			list = append(list, Load{Engine: k, Requests: s.report.Running + s.report.Waiting, At: s.reportedAt})
+		}
+	}
+	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(b.Requests, a.Requests) })
+	return list[:min(limit, len(list))]
 }
 
 // Failed notes that an engine failed a request; one that could not be reached is left alone for a while, longer each time, which is returned.
@@ -247,6 +288,10 @@
 	t.chains.Add(h.Chain, kept)
 }
 
+func (s *state) state(requests int, at time.Time) {
+	s.stated, s.statedAt, s.begun = requests, at, 0
+}
+
 // failure returns the share of late requests that the engine failed, fading with time.
 func (s *state) failure(now time.Time) float64 {
 	return s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failureHalfLife.Seconds())
