--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -52,8 +52,10 @@
 		Changes []mirror.Entry
 		Changed bool
 		// Loads are the sender's own requests at engines that state no load, and Stated what the others stated to it.
-		Loads   map[engines.Key]int
-		Stated  []Load
+		Loads  map[engines.Key]int
+		Stated []Load
+		// Held are engines that the sender could not reach.
+		Held    []Held
 		Holders []Holder
 		Rumours []Rumour
 	}
@@ -74,6 +76,12 @@
 		Age      Millis
 	}
 
+	// Held is an engine that is left alone, and for how long yet.
+	Held struct {
+		Engine engines.Key
+		Left   Millis
+	}
+
 	// Holder is an engine that has read a chain, with the time since.
 	Holder struct {
 		Chain  placing.Chain
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -271,14 +271,14 @@
 
 // giveUp writes the final answer of a request that no engine answered well.
 func (x *exchange) giveUp(ctx context.Context) {
-	if x.stream != nil {
-		x.log(outcomeCut, 0)
-		panic(http.ErrAbortHandler)
-	}
 	if x.r.Context().Err() != nil {
 		x.log(outcomeCancelled, 0)
 		return
 	}
+	if x.stream != nil {
+		x.log(outcomeCut, 0)
+		panic(http.ErrAbortHandler)
+	}
 	if x.kept != nil {
 		x.pass(x.kept)
 		return
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -15,8 +15,8 @@
 const (
 	// maxIdlePerEngine bounds the idle connections kept to one engine.
 	maxIdlePerEngine = 8
-	// DialTimeout is the time in which a sound engine accepts a connection, with one lost packet left out.
-	DialTimeout = 300 * time.Millisecond
+	// DialTimeout is the time in which a sound engine of another region accepts a connection, several times over; a lost packet is not waited for.
+	DialTimeout = 200 * time.Millisecond
 )
 
 type (
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -33,6 +33,8 @@
 	// statedPerBeat is how many engines' loads travel in a beat, the highest first, and statedSpan how far back they reach.
 	statedPerBeat = 8
 	statedSpan    = 600 * time.Millisecond
+	// heldPerBeat is how many unreachable engines travel in a beat.
+	heldPerBeat = 8
 	// maxHolders bounds what a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
 	// inlineChanges is how many changes may travel in a beat.
@@ -118,6 +120,11 @@
 		stated[i] = placing.Load{Engine: l.Engine, Requests: l.Requests, At: wall.Add(-l.Age.Duration())}
 	}
 	n.table.NoteStated(stated)
+	held := make([]placing.Held, len(b.Held))
+	for i, h := range b.Held {
+		held[i] = placing.Held{Engine: h.Engine, Until: wall.Add(h.Left.Duration())}
+	}
+	n.table.NoteHeld(held, wall)
 	n.noteHolders(b.Holders, wall)
 	if b.Answer > 0 {
 		n.takeProof(b)
@@ -196,6 +203,9 @@
 	for _, l := range n.table.Stated(wall.Add(-statedSpan), statedPerBeat) {
 		b.Stated = append(b.Stated, beat.Load{Engine: l.Engine, Requests: l.Requests, Age: beat.MillisOf(wall.Sub(l.At))})
 	}
+	for _, h := range n.table.HeldHere(heldPerBeat, wall) {
+		b.Held = append(b.Held, beat.Held{Engine: h.Engine, Left: beat.MillisOf(h.Until.Sub(wall))})
+	}
 	return b
 }
 
--- a/request/placing/placing_test.go
+++ b/request/placing/placing_test.go
@@ -208,3 +208,31 @@
 		t.Fatalf("%d tokens cached, %d fetched", c.Cached, c.Fetched)
 	}
 }
+
+func TestUnreachableEnginesAreToldToOthers(t *testing.T) {
+	first, second, all := New(Policy{LoadBound: 1.5}), New(Policy{LoadBound: 1.5}), engines.NewList(list(desk, 2))
+	bad := all.Of(desk)[0]
+	first.Failed(bad, true, start)
+	second.NoteHeld(first.HeldHere(8, start), start)
+	for range 10 {
+		if c, w := choose(t, second, all, Request{Service: desk}, start.Add(holdFirst/2)); c.Engine.ID == bad.ID {
+			t.Fatal("an engine that another instance could not reach was chosen")
+		} else {
+			w.End()
+		}
+	}
+	if len(second.HeldHere(8, start)) != 0 {
+		t.Fatal("hearsay is passed on")
+	}
+	second.Answered(bad, start)
+	second.NoteHeld(first.HeldHere(8, start), start)
+	got := false
+	for range 50 {
+		c, w := choose(t, second, all, Request{Service: desk}, start.Add(time.Millisecond))
+		w.End()
+		got = got || c.Engine.ID == bad.ID
+	}
+	if !got {
+		t.Fatal("hearsay goes before an answer of the engine itself")
+	}
+}
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -67,6 +67,12 @@
 		At       time.Time
 	}
 
+	// Held is an engine that is left alone until a time, because it could not be reached.
+	Held struct {
+		Engine engines.Key
+		Until  time.Time
+	}
+
 	// Table is what one instance knows of the engines.
 	Table struct {
 		mu      sync.Mutex
@@ -100,7 +106,9 @@
 		failedAt  time.Time
 		hold      time.Duration
 		heldUntil time.Time
-		answered  time.Time
+		// heldHere says that this instance itself could not reach the engine.
+		heldHere bool
+		answered time.Time
 	}
 
 	remote struct {
@@ -227,12 +235,37 @@
 	s.failedAt = now
 	if unreachable && now.After(s.heldUntil) {
 		s.hold = min(max(2*s.hold, holdFirst), holdMost)
-		s.heldUntil = now.Add(s.hold)
+		s.heldUntil, s.heldHere = now.Add(s.hold), true
 		return s.hold
 	}
 	return 0
 }
 
+// HeldHere returns the engines that this instance could not reach and leaves alone, at most limit of them.
+func (t *Table) HeldHere(limit int, now time.Time) []Held {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Held
+	for k, s := range t.engines {
+		if s.heldHere && s.heldUntil.After(now) && len(list) < limit {
+			list = append(list, Held{Engine: k, Until: s.heldUntil})
+		}
+	}
+	return list
+}
+
+// NoteHeld leaves engines alone that another instance could not reach, unless they have just answered this one.
+func (t *Table) NoteHeld(list []Held, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range list {
+		s := t.state(h.Engine)
+		if now.Sub(s.answered) > holdFirst && h.Until.After(s.heldUntil) {
+			s.heldUntil, s.heldHere = h.Until, false
+		}
+	}
+}
+
 // Answered notes a good answer of an engine.
 func (t *Table) Answered(e engines.Engine, now time.Time) {
 	t.mu.Lock()
@@ -241,7 +274,7 @@
 	s.failing = s.failure(now) * (1 - failureStep)
 	s.failedAt = now
 	s.hold = 0
-	s.heldUntil = time.Time{}
+	s.heldUntil, s.heldHere = time.Time{}, false
 	s.answered = now
 }
 
