--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -132,10 +132,7 @@
 		x.verdict = "no budget for a repeat"
 		x.Metrics.Add("retriesOverBudget", 1)
 	}
-	if x.verdict != "" {
-		return false
-	}
-	return true
+	return x.verdict == ""
 }
 
 // attempt offers the request to one engine.
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -77,6 +77,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	//nolint:bodyclose // The body is closed by the body type below.
 	resp, written, err := conn.roundTrip(r.Method, r.encode(), r.Answers)
 	if err != nil {
 		stop()
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -54,7 +54,9 @@
 		body, resets := strings.CutSuffix(body, "RESET")
 		_, _ = io.WriteString(c, body)
 		if resets {
-			_ = c.(*net.TCPConn).SetLinger(0)
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
 		}
 		if closes || resets {
 			return
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -111,10 +111,9 @@
 		// announced is when this instance last told others of a change.
 		announced atomic.Int64
 
-		world         atomic.Pointer[world]
-		worldMu       sync.Mutex
-		lastBroken    map[string]ident.Revision
-		configuration ident.Revision
+		world      atomic.Pointer[world]
+		worldMu    sync.Mutex
+		lastBroken map[string]ident.Revision
 	}
 
 	// ahead names an instance whose replica is ahead of this one's.
--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/beat"
-	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
@@ -101,5 +100,5 @@
 		holders[i] = placing.Holder{Chain: p.Chain, Engine: e.Key, At: now}
 	}
 	n.table.NoteHolders(holders)
-	n.log.Info("engine listed", zap.String("engine", string(ident.Engine(e.ID))), zap.Int("parts", len(parts)))
+	n.log.Info("engine listed", zap.String("engine", string(e.ID)), zap.Int("parts", len(parts)))
 }
--- a/process/logs/bounded.go
+++ b/process/logs/bounded.go
@@ -16,9 +16,10 @@
 	// RequestLogger names the logger of lines about requests; those at info level are about requests that went well.
 	RequestLogger = "request"
 
-	// DefaultLines and DefaultBytes are the budget of a second: 64 requests of four lines each, at 512 bytes a line.
+	// DefaultLines is the budget of a second in lines: 64 requests of four lines each.
 	DefaultLines = 256
-	DefaultBytes = 128 << 10
+	// DefaultBytes is the same in bytes, at 512 bytes a line.
+	DefaultBytes = DefaultLines * 512
 	// burstSeconds is how much of the budget may be saved up.
 	burstSeconds = 2
 	// successReserve is the part of the budget that lines about requests that went well leave to others.
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -1,9 +1,9 @@
 package placing
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,20 +27,8 @@
 		engine ident.Engine
 		work   *Work
 	}
-
-	endings []ending
 )
 
-func (e endings) Len() int           { return len(e) }
-func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
-func (e *endings) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // play returns the share of arrivals at engines that hold more than factor times the mean and three, and the share of prompts that were at the engine chosen or at the one that it fetches from, of those that any engine had read.
 func (c crowd) play(t *testing.T, factor float64, seed uint64) (over, cached float64) {
 	t.Helper()
@@ -53,16 +41,19 @@
 	}
 	loads := make(map[ident.Engine]int)
 	read := make(map[string]map[ident.Engine]bool)
-	var running endings
+	var running []ending
 	sent, arrivals, above, hits, prompts := 0, 0, 0, 0, 0
 	step := time.Duration(float64(time.Second) / c.perSecond)
 	beatAt := start
 	for now := start; now.Before(start.Add(span)); now = now.Add(step) {
-		for len(running) > 0 && !running[0].at.After(now) {
-			done := heap.Pop(&running).(ending)
-			loads[done.engine]--
-			done.work.End()
-		}
+		running = slices.DeleteFunc(running, func(e ending) bool {
+			if e.at.After(now) {
+				return false
+			}
+			loads[e.engine]--
+			e.work.End()
+			return true
+		})
 		for ; !beatAt.After(now); beatAt = beatAt.Add(beat) {
 			for _, from := range tables {
 				for range 2 * fanOut {
@@ -104,7 +95,7 @@
 		loads[choice.Engine.ID]++
 		work.Started(now)
 		lasts := time.Duration((0.5 + draws.Float64()) * float64(c.lasts))
-		heap.Push(&running, ending{at: now.Add(lasts), engine: choice.Engine.ID, work: work})
+		running = append(running, ending{at: now.Add(lasts), engine: choice.Engine.ID, work: work})
 		table.NoteReport(choice.Engine, Report{Running: loads[choice.Engine.ID]}, now)
 	}
 	return float64(above) / float64(arrivals), float64(hits) / float64(prompts)
