--- a/cmd/check.go
+++ b/cmd/check.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"github.com/vanillaroute/vanillaroute/process/entry"
 	"github.com/vanillaroute/vanillaroute/process/settings"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
@@ -52,7 +53,7 @@
 	return nil
 }
 
-// checkFile reads a file as a list where it holds list tables, and otherwise as settings.
+// checkFile reads a file as a list where it holds list tables, as settings of an entry instance where it has one, and otherwise as a router's settings.
 func checkFile(name string) (lists.File, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
@@ -61,6 +62,10 @@
 	if lists.IsListFile(data) {
 		return lists.Parse(name, data)
 	}
+	if entry.IsSettings(data) {
+		_, err = entry.Parse(name, data)
+		return lists.File{}, err
+	}
 	_, err = settings.Parse(name, data)
 	return lists.File{}, err
 }
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"os"
 	"time"
 
@@ -69,6 +70,16 @@
 	return Parse(file, data)
 }
 
+// IsSettings reports whether a file's content is that of an entry instance's settings, by its table "instance".
+func IsSettings(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if string(bytes.TrimSpace(line)) == "[instance]" {
+			return true
+		}
+	}
+	return false
+}
+
 // Parse does what Load does with the content of a file.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
--- /dev/null
+++ b/process/entry/settings_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+)
+
+const goodSettings = `[instance]
+name = "n1"
+failureDomain = "a"
+callers = "10.0.0.1:8001"
+ready = "10.0.0.1:8002"
+directory = "10.0.0.1:8003"
+peers = "10.0.0.1:7001"
+metrics = "10.0.0.1:9464"
+seeds = ["10.0.0.2:8009"]
+firstStart = true
+
+[store]
+address = "10.0.9.1:80"
+minLease = "1000ms"
+
+[bounds]
+keyRevocation = "5000ms"
+contact = "3000ms"
+shutdown = "8s"
+maxAddressValidity = "5s"
+loadFactor = 2
+
+[retries]
+ratio = 0.2
+slack = 58
+window = "10s"
+`
+
+func TestSettingsNameFileLineAndField(t *testing.T) {
+	tests := []struct {
+		name, old, new string
+		line           int
+		field          string
+	}{
+		{"good", "", "", 0, ""},
+		{"no name", `name = "n1"`, `name = ""`, 2, "instance.name"},
+		{"a host's name", "10.0.9.1:80", "store:80", 13, "store.address"},
+		{"no unit", `contact = "3000ms"`, `contact = "3000"`, 18, "bounds.contact"},
+		{"wrong type", "firstStart = true", `firstStart = "yes"`, 10, "instance.firstStart"},
+		{"unknown key", "loadFactor = 2", "loadfactors = 2", 21, "bounds.loadfactors"},
+		{"no window", `window = "10s"`, "", 23, "retries.window"},
+		{"negative slack", "slack = 58", "slack = -1", 25, "retries.slack"},
+		{"cut", "[retries]", "[retr", 23, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse("entry.toml", []byte(strings.Replace(goodSettings, tt.old, tt.new, 1)))
+			if tt.line == 0 {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			var field *tomlfile.FieldError
+			if !errors.As(err, &field) || field.Line != tt.line || field.File != "entry.toml" || (tt.field != "" && field.Field != tt.field) {
+				t.Fatalf("got %v, want line %d, field %s", err, tt.line, tt.field)
+			}
+		})
+	}
+}
+
+func TestAgesFollowTheBounds(t *testing.T) {
+	s, err := Parse("entry.toml", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.keyAge() != 4500*time.Millisecond || s.denyAge() != 3*time.Second {
+		t.Fatalf("keys %s, denials %s", s.keyAge(), s.denyAge())
+	}
+	s.Bounds.KeyRevocation = tomlfile.NewDuration(0)
+	if s.keyAge() != defaultKeyAge {
+		t.Fatalf("keys without a bound: %s", s.keyAge())
+	}
+}
+
+func TestIsSettings(t *testing.T) {
+	if !IsSettings([]byte(goodSettings)) || IsSettings([]byte("[router]\n")) {
+		t.Fatal("settings are not told apart")
+	}
+}
