--- a/cmd/root.go
+++ b/cmd/root.go
@@ -46,6 +46,7 @@
 		newServeCmd().cmd,
 		newEntryCmd().cmd,
 		newExplainCmd().cmd,
+		newSoakCmd().cmd,
 		newCheckCmd().cmd,
 		newListCmd(planList).cmd,
 		newListCmd(allowanceList).cmd,
--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+const (
+	pathOnce    = "/once/"
+	pathMany    = "/many/"
+	pathStream  = "/stream/"
+	host        = "soak.example"
+	keptKey     = "kept-key"
+	revokedKey  = "revoked-key"
+	callTimeout = 3 * time.Second
+	callPause   = 30 * time.Millisecond
+)
+
+type (
+	// call is one request as its caller saw it.
+	call struct {
+		id       ident.Request
+		path     string
+		key      string
+		instance string
+		sent     time.Time
+		ended    time.Time
+		// status is 0 where the connection broke before or in the answer.
+		status int
+		body   string
+		err    error
+	}
+
+	// callers send requests and keep what became of them.
+	callers struct {
+		instances []*instance
+		names     forward.Names
+		mu        sync.Mutex
+		calls     []call
+	}
+)
+
+// run sends requests, each caller on kept connections, until ctx ends.
+func (c *callers) run(ctx context.Context, count int) {
+	var all sync.WaitGroup
+	for number := range count {
+		all.Go(func() { c.one(ctx, number) })
+	}
+	all.Wait()
+}
+
+func (c *callers) one(ctx context.Context, number int) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}
+	paths := []string{pathOnce, pathMany, pathStream}
+	keys := []string{keptKey, keptKey, revokedKey}
+	var addresses []string
+	var asked time.Time
+	for n := 0; ctx.Err() == nil; n++ {
+		if time.Since(asked) > time.Second {
+			if fresh := c.resolve(); len(fresh) > 0 {
+				addresses = fresh
+			}
+			asked = time.Now()
+		}
+		if len(addresses) > 0 {
+			c.keep(c.send(client, addresses[rand.IntN(len(addresses))], paths[(n+number)%len(paths)], keys[n%len(keys)]))
+		}
+		time.Sleep(callPause)
+	}
+	client.CloseIdleConnections()
+}
+
+// resolve asks up to three instances which addresses to use.
+func (c *callers) resolve() []string {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 3 {
+		n := c.instances[rand.IntN(len(c.instances))]
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/resolve?name=%s", n.ip, directoryPort, host))
+		if err != nil {
+			continue
+		}
+		var answer struct {
+			Addresses []string `json:"addresses"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		_ = resp.Body.Close()
+		if err == nil && len(answer.Addresses) > 0 {
+			return answer.Addresses
+		}
+	}
+	return nil
+}
+
+func (c *callers) send(client *http.Client, address, path, key string) call {
+	r := call{id: ident.NewRequest(), path: path, key: key, instance: address, sent: time.Now()}
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path+"x", bytes.NewReader([]byte("body")))
+	if err != nil {
+		r.err = err
+		return r
+	}
+	// Without GetBody the client never sends a request twice by itself.
+	req.GetBody = nil
+	req.Host = host
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set(c.names.RequestID, string(r.id))
+	req.Header.Set(c.names.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
+	resp, err := client.Do(req)
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		r.body = string(body)
+		if err == nil {
+			r.status = resp.StatusCode
+		}
+	}
+	r.err, r.ended = err, time.Now()
+	return r
+}
+
+func (c *callers) keep(r call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, r)
+}
+
+// since returns the calls sent after a time.
+func (c *callers) since(t time.Time) []call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []call
+	for _, r := range c.calls {
+		if r.sent.After(t) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// wrongBody says what is wrong with the body of a success, or of a stream that broke off.
+func (r call) wrongBody() string {
+	if r.path != pathStream {
+		if r.status == http.StatusOK && r.body != "answer for "+string(r.id) {
+			return fmt.Sprintf("the body is %q", r.body)
+		}
+		return ""
+	}
+	if r.status != http.StatusOK && r.status != 0 {
+		return ""
+	}
+	events := strings.Split(strings.TrimSuffix(r.body, "\n\n"), "\n\n")
+	for i, e := range events {
+		if want := fmt.Sprintf("id: %d\ndata: %s/%d", i+1, r.id, i+1); e != want && (r.status == http.StatusOK || i < len(events)-1) {
+			return fmt.Sprintf("event %d is %q", i+1, e)
+		}
+	}
+	if r.status == http.StatusOK && len(events) != eventsPerStream {
+		return fmt.Sprintf("the stream ended as whole after %d events", len(events))
+	}
+	return ""
+}
--- /dev/null
+++ b/soak/engine.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/platform/standin"
+	"github.com/vanillaroute/vanillaroute/standin/memstore"
+)
+
+const (
+	eventsPerStream = 20
+	eventPause      = 10 * time.Millisecond
+	workTime        = 20 * time.Millisecond
+	service         = ident.Service("s")
+	organisation    = ident.Organisation("museum")
+)
+
+type (
+	// engine is a fake engine behind a proxy.
+	engine struct {
+		id     ident.Engine
+		names  forward.Names
+		seen   *record
+		store  *memstore.Store
+		server *http.Server
+		proxy  *proxy
+		// losing engines run requests and break the connection instead of answering.
+		losing atomic.Bool
+	}
+
+	// record is what all engines saw.
+	record struct {
+		mu     sync.Mutex
+		runs   map[ident.Request]int
+		wrong  []string
+		starts []time.Time
+	}
+)
+
+func newRecord() *record { return &record{runs: make(map[ident.Request]int)} }
+
+func (r *record) ran(id ident.Request) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+func (r *record) begin(id ident.Request, problem string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+	r.starts = append(r.starts, time.Now())
+	if problem != "" {
+		r.wrong = append(r.wrong, fmt.Sprintf("request %s: %s", id, problem))
+	}
+}
+
+// startEngine starts and registers an engine.
+func startEngine(id ident.Engine, names forward.Names, seen *record, store *memstore.Store) (*engine, error) {
+	e := &engine{id: id, names: names, seen: seen, store: store}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func() { _ = e.server.Serve(listener) }()
+	if e.proxy, err = newProxy(listener.Addr().String()); err != nil {
+		return nil, err
+	}
+	return e, standin.Register(store, id, service, e.proxy.address(), 50, false)
+}
+
+// crash ends the engine without a word; its entry is removed some time later.
+func (e *engine) crash() {
+	_ = e.server.Close()
+	e.proxy.close()
+	time.AfterFunc(time.Second, func() { standin.Remove(e.store, e.id) })
+}
+
+// ServeHTTP runs a request as its path says.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := ident.Request(r.Header.Get(e.names.RequestID))
+	w.Header().Set(e.names.RequestID, string(id))
+	if r.Header.Get(e.names.Expect) != string(e.id) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.seen.begin(id, e.problem(r))
+	w.Header().Set(e.names.Seal, "seal")
+	if e.losing.Load() && rand.IntN(3) == 0 {
+		time.Sleep(workTime)
+		panic(http.ErrAbortHandler)
+	}
+	if strings.HasPrefix(r.URL.Path, pathStream) {
+		e.stream(w, r, id)
+		return
+	}
+	time.Sleep(workTime)
+	_, _ = fmt.Fprintf(w, "answer for %s", id)
+}
+
+func (e *engine) problem(r *http.Request) string {
+	switch {
+	case r.Header.Get("Authorization") != "":
+		return "the key was passed on"
+	case r.Header.Get(e.names.Organisation) != string(organisation):
+		return "the organisation is " + r.Header.Get(e.names.Organisation)
+	}
+	return ""
+}
+
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id ident.Request) {
+	from, _ := strconv.Atoi(r.Header.Get(e.names.LastEvent))
+	control := http.NewResponseController(w)
+	for i := from + 1; i <= eventsPerStream; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", i, id, i)
+		if control.Flush() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/instance.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/platform/standin"
+	"github.com/vanillaroute/vanillaroute/standin/memstore"
+)
+
+const (
+	callersPort = 18001 + iota
+	readyPort
+	directoryPort
+	peersPort
+)
+
+// stopTimeout is how long a process may take to end after SIGTERM: the time that its settings give it, and a second.
+const stopTimeout = shutdownTime + time.Second
+
+// instance is one entry process with its own way to the store.
+type instance struct {
+	ip       string
+	settings string
+	log      string
+	binary   string
+	client   *memstore.Client
+	api      *http.Server
+	proxy    *proxy
+	process  *exec.Cmd
+	ended    chan error
+}
+
+// newInstance prepares an instance at an address of its own; all use the same ports, as on the platform.
+func newInstance(binary, dir string, net, number int, store *memstore.Store) (*instance, error) {
+	n := &instance{ip: fmt.Sprintf("127.%d.%d.1", net, number+1), binary: binary, client: store.Client()}
+	n.settings = filepath.Join(dir, fmt.Sprintf("entry-%d.toml", number))
+	n.log = filepath.Join(dir, fmt.Sprintf("entry-%d.log", number))
+	api, address, err := serveLocal(standin.Handler(n.client))
+	if err != nil {
+		return nil, err
+	}
+	n.api = api
+	if n.proxy, err = newProxy(address); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(`[instance]
+name = "entry-%d"
+failureDomain = "d%d"
+callers = "%s:%d"
+ready = "%s:%d"
+directory = "%s:%d"
+peers = "%s:%d"
+seeds = ["127.%d.1.1:%d"]
+[store]
+address = %q
+[bounds]
+keyRevocation = %q
+contact = "2s"
+shutdown = %q
+maxAddressValidity = "1s"
+loadFactor = 2
+[retries]
+ratio = %g
+slack = %d
+window = %q
+`, number, number%3, n.ip, callersPort, n.ip, readyPort, n.ip, directoryPort, n.ip, peersPort, net, peersPort, n.proxy.address(),
+		revocationTime, shutdownTime, retryRatio, retrySlack, retryWindow)
+	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
+}
+
+// start starts the process; its log goes on in the same file.
+func (n *instance) start() error {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	n.process = exec.Command(n.binary, "entry", "--config", n.settings)
+	n.process.Env = append(os.Environ(), RunVariable+"=1")
+	n.process.Stdout, n.process.Stderr = log, log
+	if err := n.process.Start(); err != nil {
+		return errors.Wrap(err, "start instance")
+	}
+	process, ended := n.process, make(chan error, 1)
+	n.ended = ended
+	go func() {
+		ended <- process.Wait()
+		_ = log.Close()
+	}()
+	return nil
+}
+
+func (n *instance) signal(s syscall.Signal) {
+	_ = n.process.Process.Signal(s)
+}
+
+// kill ends the process at once.
+func (n *instance) kill() {
+	n.signal(syscall.SIGKILL)
+	<-n.ended
+}
+
+// stop ends the process as planned, and fails where it does not end in time.
+func (n *instance) stop() error {
+	n.signal(syscall.SIGTERM)
+	select {
+	case <-n.ended:
+		return nil
+	case <-time.After(stopTimeout):
+		n.kill()
+		return errors.Errorf("instance %s did not stop within %s", n.ip, stopTimeout)
+	}
+}
+
+func (n *instance) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/ready", n.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (n *instance) close() {
+	n.signal(syscall.SIGCONT)
+	n.kill()
+	n.proxy.close()
+	_ = n.api.Close()
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Modes of a proxy.
+const (
+	pass mode = iota
+	// slow delays what is sent in either direction.
+	slow
+	// silent takes connections and bytes, and passes none on.
+	silent
+	// oneWay passes nothing from the server to the client.
+	oneWay
+	// refuse closes new connections, and those that are open.
+	refuse
+)
+
+const (
+	slowBy     = 150 * time.Millisecond
+	bufferSize = 16 << 10
+	pollPause  = 10 * time.Millisecond
+)
+
+type (
+	mode int
+
+	// proxy stands between two programs on loopback.
+	proxy struct {
+		listener net.Listener
+		target   string
+		mu       sync.Mutex
+		mode     mode
+		conns    map[net.Conn]bool
+	}
+)
+
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the mode; refuse resets all connections.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == refuse {
+		p.resetLocked()
+	}
+}
+
+// reset breaks all connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetLocked()
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) resetLocked() {
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+func (p *proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.now() == refuse {
+			_ = client.Close()
+			continue
+		}
+		go p.serve(client)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		if tcp, ok := client.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = client.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client, false) })
+	both.Go(func() { p.copy(client, server, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+	_ = client.Close()
+	_ = server.Close()
+}
+
+// copy passes bytes on while the mode allows; held bytes are kept until it does.
+func (p *proxy) copy(to, from net.Conn, back bool) {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := from.Read(buffer)
+		for m := p.now(); n > 0 && (m == silent || (m == oneWay && back)); m = p.now() {
+			time.Sleep(pollPause)
+		}
+		if n > 0 && p.now() == slow {
+			time.Sleep(slowBy)
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				break
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+				_ = tcp.CloseWrite()
+				return
+			}
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+}
+
+func (p *proxy) now() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,353 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/platform"
+	"github.com/vanillaroute/vanillaroute/platform/standin"
+	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/standin/memstore"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+)
+
+const (
+	// RunVariable makes a test binary behave as the program.
+	RunVariable = "VANILLAROUTE_TEST_RUN"
+
+	revocationTime = 3 * time.Second
+	shutdownTime   = 6 * time.Second
+	retryRatio     = 0.2
+	retrySlack     = 58
+	retryWindow    = 10 * time.Second
+	// recoveryTime is within what all is served again once the faults have ended.
+	recoveryTime = 12 * time.Second
+	callerCount  = 12
+	engineCount  = 4
+	// faultPause is the mean pause between the starts of two faults, and faultTime the mean time of one.
+	faultPause = 400 * time.Millisecond
+	faultTime  = time.Second
+	startTime  = 10 * time.Second
+	// netsOfSeeds is how many runs can use loopback addresses of their own at once.
+	firstNet, netsOfSeeds = 150, 100
+)
+
+type (
+	// Options are what a run is given.
+	Options struct {
+		Seed      uint64
+		Duration  time.Duration
+		Instances int
+		// Binary is the program to run as instances.
+		Binary string
+		// Dir takes settings and logs.
+		Dir string
+		Out io.Writer
+	}
+
+	// BrokenError is the first promise that a run found broken.
+	BrokenError struct {
+		Promise string
+		Request ident.Request
+		Detail  string
+		Seed    uint64
+		Story   []string
+	}
+
+	// run is one soak.
+	run struct {
+		Options
+		draws     *rand.Rand
+		store     *memstore.Store
+		seen      *record
+		instances []*instance
+		engines   []*engine
+		nextID    int
+		version   routing.Version
+		callers   *callers
+		revoked   time.Time
+		faults    []string
+	}
+)
+
+// Error names promise, request, seed and story.
+func (e *BrokenError) Error() string {
+	text := fmt.Sprintf("broken promise: %s: request %s: %s; again: vanillaroute soak --seed %d", e.Promise, e.Request, e.Detail, e.Seed)
+	for _, line := range e.Story {
+		text += "\n  " + line
+	}
+	return text
+}
+
+// Run soaks a fleet; it fails with *BrokenError where a promise was broken.
+func Run(ctx context.Context, o Options) error {
+	r := &run{Options: o, draws: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: memstore.New(), seen: newRecord()}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return err
+	}
+	callCtx, stopCalls := context.WithCancel(ctx)
+	defer stopCalls()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.callers.run(callCtx, callerCount)
+	}()
+	r.overlapFaults(ctx)
+	err := r.recover(ctx)
+	if err == nil {
+		err = r.roll(ctx)
+	}
+	stopCalls()
+	<-ended
+	if err != nil {
+		return err
+	}
+	if err := r.check(); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Out, "seed %d: %d calls, %d runs, %d faults, no promise broken\n", o.Seed, len(r.callers.calls), len(r.seen.starts), len(r.faults))
+	return nil
+}
+
+func (r *run) start() error {
+	if err := r.configure([]string{keptKey, revokedKey}); err != nil {
+		return err
+	}
+	for range engineCount {
+		if err := r.addEngine(); err != nil {
+			return err
+		}
+	}
+	for i := range r.Instances {
+		n, err := newInstance(r.Binary, r.Dir, firstNet+int(r.Seed%netsOfSeeds), i, r.store)
+		if err != nil {
+			return err
+		}
+		if err := n.start(); err != nil {
+			return err
+		}
+		r.instances = append(r.instances, n)
+	}
+	r.callers = &callers{instances: r.instances, names: platform.New("").Names}
+	return r.allReady(startTime)
+}
+
+func (r *run) configure(keys []string) error {
+	r.version += routing.Version(1 + r.draws.IntN(5))
+	route := func(path, kind string, attempts int, resumable bool) standin.Route {
+		return standin.Route{
+			Name: path, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: int(callTimeout.Milliseconds()), TargetMs: 500, GapMs: 200,
+			Service: service, Attempts: attempts, Resumable: resumable,
+		}
+	}
+	routes := []standin.Route{
+		route(pathOnce, standin.KindOnce, 1, false), route(pathMany, standin.KindRepeatable, 2, false), route(pathStream, standin.KindStream, 2, true),
+	}
+	return standin.Configure(r.store, r.version, routes, []standin.Organisation{{Name: organisation, Keys: keys}})
+}
+
+func (r *run) addEngine() error {
+	r.nextID++
+	e, err := startEngine(ident.Engine(fmt.Sprintf("e%d", r.nextID)), platform.New("").Names, r.seen, r.store)
+	if err == nil {
+		r.engines = append(r.engines, e)
+	}
+	return err
+}
+
+// overlapFaults starts faults one after the other, each of which may last beyond the next.
+func (r *run) overlapFaults(ctx context.Context) {
+	end := time.Now().Add(r.Duration)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		r.fault(r.draws.IntN(12), r.instances[r.draws.IntN(len(r.instances))], r.draws.IntN(len(r.engines)), r.lasting(faultTime))
+		time.Sleep(r.lasting(faultPause))
+	}
+	time.Sleep(2 * faultTime)
+	r.heal()
+}
+
+func (r *run) lasting(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(r.draws.Int64N(int64(mean)))
+}
+
+func (r *run) fault(kind int, n *instance, at int, lasts time.Duration) {
+	e := r.engines[at]
+	name := ""
+	switch kind {
+	case 0, 1, 2, 3:
+		m := mode(kind) + slow
+		name = fmt.Sprintf("way of %s to the store in mode %d", n.ip, m)
+		n.proxy.set(m)
+		time.AfterFunc(lasts, func() { n.proxy.set(pass) })
+	case 4, 5, 6:
+		m := mode(kind-4) + slow
+		name = fmt.Sprintf("way to engine %s in mode %d", e.id, m)
+		e.proxy.set(m)
+		time.AfterFunc(lasts, func() { e.proxy.set(pass) })
+	case 7:
+		name = "connections to engine " + string(e.id) + " reset"
+		e.proxy.reset()
+	case 8:
+		name = "engine " + string(e.id) + " loses answers"
+		e.losing.Store(true)
+		time.AfterFunc(lasts, func() { e.losing.Store(false) })
+	case 9:
+		name = "engine " + string(e.id) + " crashes, another comes"
+		e.crash()
+		r.engines = append(r.engines[:at], r.engines[at+1:]...)
+		if err := r.addEngine(); err != nil {
+			name = err.Error()
+		}
+	case 10:
+		name = "instance " + n.ip + " paused"
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(lasts)
+		n.signal(syscall.SIGCONT)
+	case 11:
+		name = r.change(n)
+	}
+	r.faults = append(r.faults, fmt.Sprintf("%s %s for %s", time.Now().Format(time.StampMilli), name, lasts))
+}
+
+// change kills an instance and starts it again, drops the store's history, or revokes a key, whichever is drawn.
+func (r *run) change(n *instance) string {
+	switch r.draws.IntN(3) {
+	case 0:
+		n.kill()
+		if err := n.start(); err != nil {
+			return err.Error()
+		}
+		return "instance " + n.ip + " killed"
+	case 1:
+		r.store.Compact()
+		return "store drops its history"
+	}
+	if !r.revoked.IsZero() {
+		return "nothing"
+	}
+	if err := r.configure([]string{keptKey}); err != nil {
+		return err.Error()
+	}
+	r.revoked = time.Now()
+	return "key revoked"
+}
+
+func (r *run) heal() {
+	for _, n := range r.instances {
+		n.proxy.set(pass)
+	}
+	for _, e := range r.engines {
+		e.proxy.set(pass)
+		e.losing.Store(false)
+	}
+}
+
+// recover checks that all is served again in time once the faults have ended.
+func (r *run) recover(ctx context.Context) error {
+	if err := r.allReady(recoveryTime); err != nil {
+		return &BrokenError{Promise: "recovery", Detail: err.Error(), Seed: r.Seed}
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	select {
+	case <-time.After(2 * time.Second):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for _, c := range r.callers.since(began) {
+		if c.key == keptKey && c.status != http.StatusOK && !c.ended.IsZero() {
+			return r.broken("recovery", c, fmt.Sprintf("status %d, %v, after all faults had ended", c.status, c.err))
+		}
+	}
+	return nil
+}
+
+// roll stops and starts each instance as planned, under load; no request of a key in force may be cut.
+func (r *run) roll(ctx context.Context) error {
+	began := time.Now()
+	for _, n := range r.instances {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := n.stop(); err != nil {
+			return &BrokenError{Promise: "planned stop", Detail: err.Error(), Seed: r.Seed}
+		}
+		if err := n.start(); err != nil {
+			return err
+		}
+		if err := r.allReady(recoveryTime); err != nil {
+			return &BrokenError{Promise: "recovery", Detail: err.Error(), Seed: r.Seed}
+		}
+	}
+	for _, c := range r.callers.since(began) {
+		if c.status == 0 && c.key == keptKey && !c.ended.IsZero() && r.seen.ran(c.id) > 0 {
+			return r.broken("planned stop", c, fmt.Sprintf("cut: %v", c.err))
+		}
+	}
+	return nil
+}
+
+func (r *run) allReady(within time.Duration) error {
+	end := time.Now().Add(within)
+	for _, n := range r.instances {
+		for !n.ready() {
+			if time.Now().After(end) {
+				return errors.Errorf("instance %s is not ready within %s", n.ip, within)
+			}
+			time.Sleep(pollPause)
+		}
+	}
+	return nil
+}
+
+// broken returns the error of a broken promise with the request's story from all logs.
+func (r *run) broken(promise string, c call, detail string) error {
+	e := &BrokenError{Promise: promise, Request: c.id, Detail: fmt.Sprintf("%s at %s, sent %s: %s", c.path, c.instance, c.sent.Format(time.StampMilli), detail), Seed: r.Seed}
+	story := logs.NewStory(string(c.id))
+	for _, n := range r.instances {
+		if f, err := os.Open(filepath.Clean(n.log)); err == nil {
+			_ = story.Read(n.log, f)
+			_ = f.Close()
+		}
+	}
+	if lines, err := story.Lines(); err == nil {
+		for _, line := range lines {
+			e.Story = append(e.Story, line.String(c.sent))
+		}
+	}
+	for _, f := range r.faults {
+		e.Story = append(e.Story, "fault: "+f)
+	}
+	return e
+}
+
+func (r *run) close() {
+	for _, n := range r.instances {
+		n.close()
+	}
+	for _, e := range r.engines {
+		_ = e.server.Close()
+		e.proxy.close()
+	}
+}
+
+func serveLocal(h http.Handler) (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	return server, listener.Addr().String(), nil
+}
