--- a/soak/soak.go
+++ b/soak/soak.go
@@ -174,9 +174,26 @@
 		time.Sleep(r.lasting(faultPause))
 	}
 	time.Sleep(2 * faultTime)
+	if r.revoked.IsZero() {
+		r.revokeUnseen()
+	}
 	r.heal()
 }
 
+// revokeUnseen revokes a key while no instance reaches the store, for longer than the key may still be used.
+func (r *run) revokeUnseen() {
+	for _, n := range r.instances {
+		n.proxy.set(silent)
+	}
+	if err := r.configure([]string{keptKey}); err != nil {
+		r.faults = append(r.faults, err.Error())
+		return
+	}
+	r.revoked = time.Now()
+	r.faults = append(r.faults, r.revoked.Format(time.StampMilli)+" key revoked while no instance reaches the store")
+	time.Sleep(2 * revocationTime)
+}
+
 func (r *run) lasting(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(r.draws.Int64N(int64(mean)))
 }
