--- /dev/null
+++ b/cmd/soak_test.go
@@ -0,0 +1,40 @@
+package cmd
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/soak"
+)
+
+// TestSoakOfSeeds replays seeds: a short drawn run, and each seed that ever failed, with its cause.
+func TestSoakOfSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	tests := []struct {
+		seed  uint64
+		cause string
+	}{
+		{1, "none: the usual run"},
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range tests {
+		t.Run(tt.cause, func(t *testing.T) {
+			var out bytes.Buffer
+			err := soak.Run(t.Context(), soak.Options{Seed: tt.seed, Duration: 3 * time.Second, Instances: 3, Binary: binary, Dir: t.TempDir(), Out: &out})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(out.String(), "no promise broken") {
+				t.Fatalf("said %q", out.String())
+			}
+		})
+	}
+}
