--- a/soak/instance.go
+++ b/soak/instance.go
@@ -34,7 +34,8 @@
 	api      *http.Server
 	proxy    *proxy
 	process  *exec.Cmd
-	ended    chan error
+	// ended is closed once the process has ended.
+	ended chan struct{}
 }
 
 // newInstance prepares an instance at an address of its own; all use the same ports, as on the platform.
@@ -87,10 +88,11 @@
 	if err := n.process.Start(); err != nil {
 		return errors.Wrap(err, "start instance")
 	}
-	process, ended := n.process, make(chan error, 1)
+	process, ended := n.process, make(chan struct{})
 	n.ended = ended
 	go func() {
-		ended <- process.Wait()
+		defer close(ended)
+		_ = process.Wait()
 		_ = log.Close()
 	}()
 	return nil
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Modes of a proxy.
@@ -138,7 +140,7 @@
 			}
 		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = tcp.CloseWrite()
 				return
 			}
