--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -34,6 +34,8 @@
 	defaultLoadFactor = 2
 	// headerTimeout bounds how long a caller may take to send a request's head.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head, at four times what configurations allow callers.
+	maxHeaderBytes = 64 << 10
 	// sweepPeriod is the pause between two sweeps of idle connections and forgotten engines.
 	sweepPeriod = time.Second
 	// lingerFactor is how many validities of the address answer callers may go on using it.
@@ -160,7 +162,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(work)
-	callers := &http.Server{Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
+	callers := &http.Server{
+		Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.log), ConnState: newIdleConns(n.idleLimit).changed,
+	}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
 	directory := &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
 	serve := []struct {
@@ -217,6 +221,14 @@
 	})
 }
 
+// idleLimit returns how long a caller's connection may be idle by the configuration in force.
+func (n *Node) idleLimit() time.Duration {
+	if c := n.world.Load().configuration; c != nil {
+		return c.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // shutDown leaves the address answers, serves on while callers may still come, and finishes what is in progress.
 func (n *Node) shutDown(ctx context.Context, callers *http.Server) {
 	s := n.settings.Load()
