feat(forward): a request that crashes engines reaches two at most

A connection that breaks off an answer is followed by a look at the engine: one that refuses connections has crashed, and what it ran is suspected (the product's table of suspects, told in heartbeats). Lost answers of engines that live on suspect nobody.

--- a/connection/beat/beat.go
+++ b/connection/beat/beat.go
@@ -58,6 +58,8 @@
 		Held    []Held
 		Holders []Holder
 		Rumours []Rumour
+		// Suspects are requests that crashed engines.
+		Suspects []wire.Suspect
 	}
 
 	// Millis is a time in milliseconds, which takes three bytes of a message up to a minute.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
@@ -52,18 +53,19 @@
 	// exchange is one request on its way.
 	exchange struct {
 		*Handler
-		w        http.ResponseWriter
-		r        *http.Request
-		id       ident.Request
-		org      ident.Organisation
-		route    *routing.Route
-		service  ident.Service
-		parts    []placing.Part
-		header   http.Header
-		body     []byte
-		arrived  time.Time
-		deadline time.Time
-		tried    []ident.Engine
+		w           http.ResponseWriter
+		r           *http.Request
+		id          ident.Request
+		org         ident.Organisation
+		route       *routing.Route
+		service     ident.Service
+		parts       []placing.Part
+		header      http.Header
+		body        []byte
+		fingerprint uint64
+		arrived     time.Time
+		deadline    time.Time
+		tried       []ident.Engine
 		// sends counts all offers to engines, and runs those that an engine may have run.
 		sends, runs int
 		// kept is an engine's own failure, for the caller where nothing better comes.
@@ -98,7 +100,12 @@
 		if ctx.Err() != nil || !x.mayContinue(world, now) {
 			break
 		}
-		choice, work, ok := x.Table.Choose(world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: x.tried}, now)
+		crashed := x.Suspects.Engines(x.fingerprint)
+		if len(crashed) >= suspects.MaxEngines {
+			x.verdict = "the request crashed as many engines as it may"
+			break
+		}
+		choice, work, ok := x.Table.Choose(world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: append(crashed, x.tried...)}, now)
 		if !ok {
 			x.verdict = "no engine is left"
 			break
@@ -145,7 +152,7 @@
 	defer timer.Stop()
 	resp, err := x.Client.Do(ctx, e.Address, x.request(choice, now), now)
 	if err != nil {
-		return x.unanswered(e, err)
+		return x.unanswered(ctx, e, err)
 	}
 	x.sends++
 	defer func() { _ = resp.Body.Close() }()
@@ -162,7 +169,7 @@
 	}
 	x.runs++
 	if resp.Status >= 200 && resp.Status < 300 && x.route.Kind == routing.Stream {
-		return x.relay(resp, e, work, timer)
+		return x.relay(ctx, resp, e, work, timer)
 	}
 	return x.whole(resp, e, work)
 }
@@ -202,7 +209,7 @@
 }
 
 // unanswered follows an attempt without an answer.
-func (x *exchange) unanswered(e engines.Engine, err error) result {
+func (x *exchange) unanswered(ctx context.Context, e engines.Engine, err error) result {
 	now := time.Now()
 	x.reason = err.Error()
 	left := x.r.Context().Err() != nil
@@ -219,6 +226,7 @@
 		return lost
 	}
 	x.Table.Failed(e, false, now)
+	x.brokenOff(ctx, e)
 	return lost
 }
 
@@ -282,6 +290,7 @@
 	}
 	no := refusal{status: http.StatusBadGateway, reason: x.verdict}
 	switch {
+	case len(x.Suspects.Engines(x.fingerprint)) >= suspects.MaxEngines:
 	case x.runs == 0:
 		no.status, no.after = http.StatusServiceUnavailable, retryLater
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -43,6 +44,7 @@
 		front   *httptest.Server
 		handler *Handler
 		engines *engines.List
+		servers []*httptest.Server
 		runs    atomic.Int32
 		mu      sync.Mutex
 		heads   []http.Header
@@ -69,6 +71,7 @@
 			engine(int(f.runs.Add(1)), w, r)
 		}))
 		t.Cleanup(server.Close)
+		f.servers = append(f.servers, server)
 		all = append(all, engines.Engine{ID: ident.Engine(fmt.Sprint("e", i)), Service: service, Address: strings.TrimPrefix(server.URL, "http://")})
 	}
 	route.Host, route.PathPrefix, route.Backends = "h.example", "/p/", []routing.Backend{{Service: service, Weight: 1}}
@@ -81,7 +84,7 @@
 	f.engines = list
 	f.handler = New(Parts{
 		Names: testNames, Limits: Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second}, Table: placing.New(placing.Policy{LoadBound: 1.5}),
-		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Metrics: metrics.NewText(), Log: zap.NewNop(),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Metrics: metrics.NewText(), Suspects: suspects.New(), Log: zap.NewNop(),
 		World: func() World {
 			return World{Configuration: configuration, Engines: list, ProofAge: time.Duration(f.age.Load()), Instances: 3}
 		},
@@ -495,3 +498,48 @@
 		t.Fatalf("got %v, %v after %d runs", resp, err, f.runs.Load())
 	}
 }
+
+// TestRequestThatCrashesEnginesReachesTwo: the same body comes again and again; each engine that runs it is gone afterwards.
+func TestRequestThatCrashesEnginesReachesTwo(t *testing.T) {
+	route := routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}
+	f := newFixture(t, route, func(int, http.ResponseWriter, *http.Request) {})
+	for _, s := range f.servers {
+		s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+			if body, _ := io.ReadAll(r.Body); string(body) == "body" {
+				f.runs.Add(1)
+				_ = s.Listener.Close()
+				reset()
+			}
+			good(w, "ok")
+		})
+	}
+	for i := range 6 {
+		if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusBadGateway {
+			t.Fatalf("send %d: %v, %v", i, resp, err)
+		}
+	}
+	if n := f.runs.Load(); n != suspects.MaxEngines {
+		t.Fatalf("%d engines crashed", n)
+	}
+	other := func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("other")), 5 }
+	if resp, _, err := f.send(t, other); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("another request: %v, %v", resp, err)
+	}
+}
+
+// TestLostAnswersAloneSuspectNobody: engines that live on after a lost answer have not crashed.
+func TestLostAnswersAloneSuspectNobody(t *testing.T) {
+	f := newFixture(t, routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}, func(n int, w http.ResponseWriter, _ *http.Request) {
+		if n <= 6 {
+			reset()
+		}
+		good(w, "ok")
+	})
+	for range 3 {
+		_, _, _ = f.send(t, nil)
+	}
+	if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+}
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -88,8 +88,9 @@
 	x := &exchange{
 		Handler: h, w: w, r: r, route: route, body: body, arrived: arrived,
 		id: ident.Request(r.Header.Get(h.Names.RequestID)), org: org,
-		deadline: arrived.Add(deadlineOf(r.Header.Get(h.Names.Deadline), route.Timeout)),
-		header:   h.engineHeader(r.Header, org),
+		fingerprint: fingerprint(org, r.RequestURI, body),
+		deadline:    arrived.Add(deadlineOf(r.Header.Get(h.Names.Deadline), route.Timeout)),
+		header:      h.engineHeader(r.Header, org),
 	}
 	x.service = route.Service(x.id)
 	if route.CachesPrompts {
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -8,6 +8,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/logs"
 	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -62,26 +63,31 @@
 
 	// Parts are what a handler works with.
 	Parts struct {
-		Names   Names
-		Limits  Limits
-		Domain  ident.Domain
-		World   func() World
-		Table   *placing.Table
-		Budget  *retries.Budget
-		Client  *upstream.Client
-		Metrics *metrics.Text
-		Log     *zap.Logger
-		Closing func() bool
+		Names  Names
+		Limits Limits
+		Domain ident.Domain
+		World  func() World
+		Table  *placing.Table
+		Budget *retries.Budget
+		Client *upstream.Client
+		// Suspects are requests that crashed engines, of the whole fleet.
+		Suspects *suspects.Table
+		Metrics  *metrics.Text
+		Log      *zap.Logger
+		Closing  func() bool
 	}
 
 	// Handler serves callers.
-	Handler struct{ Parts }
+	Handler struct {
+		Parts
+		crashes *crashes
+	}
 )
 
 // New returns a handler.
 func New(p Parts) *Handler {
 	p.Log = p.Log.Named(logs.RequestLogger)
-	return &Handler{Parts: p}
+	return &Handler{Parts: p, crashes: newCrashes(p.Suspects)}
 }
 
 // hopHeaders concern one connection only.
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -50,10 +52,24 @@
 	x.Log.Warn("attempt failed", zap.String("request", string(x.id)), zap.String("engine", string(c.Engine.ID)), zap.Stringer("result", r), zap.String("reason", x.reason))
 }
 
+// brokenOff looks whether an engine that broke off an answer is gone: the request may have crashed it.
+func (x *exchange) brokenOff(ctx context.Context, e engines.Engine) {
+	if ctx.Err() != nil || x.fingerprint == 0 {
+		return
+	}
+	x.crashes.answerLost(e.ID, x.fingerprint, time.Now())
+	if upstream.Refused(ctx, e.Address) {
+		x.unreachable(e, time.Now())
+	}
+}
+
 // unreachable leaves an engine alone for a while.
 func (x *exchange) unreachable(e engines.Engine, now time.Time) {
 	if hold := x.Table.Failed(e, true, now); hold > 0 {
 		x.Metrics.Add("enginesHeld", 1)
+		if n := x.crashes.unreachable(e.ID, now); n > 0 {
+			x.Log.Warn("requests suspected", zap.String("engine", string(e.ID)), zap.Int("requests", n))
+		}
 		x.Log.Warn("engine held", zap.String("request", string(x.id)), zap.String("engine", string(e.ID)), zap.String("address", e.Address), zap.Duration("holdMs", hold), zap.String("reason", x.reason), zap.String("verdict", x.verdict))
 	}
 }
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,7 +44,7 @@
 }
 
 // relay passes events on as they come; a stream that breaks off is lost after its last whole event.
-func (x *exchange) relay(resp *upstream.Response, e engines.Engine, work *placing.Work, timer *time.Timer) result {
+func (x *exchange) relay(ctx context.Context, resp *upstream.Response, e engines.Engine, work *placing.Work, timer *time.Timer) result {
 	if resp.Header.Get(x.Names.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
 		x.reason = "the answer is not the engine's"
 		x.Table.Failed(e, false, time.Now())
@@ -54,6 +55,9 @@
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				x.brokenOff(ctx, e)
+			}
 			return x.streamEnded(err, len(event), e)
 		}
 		if first {
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
+	// probeTimeout is how long it may take to see that an engine's process is gone.
+	probeTimeout = 30 * time.Millisecond
 	// maxIdlePerEngine bounds the idle connections kept to one engine.
 	maxIdlePerEngine = 8
 	// DialTimeout is the time in which a sound engine of another region accepts a connection, several times over; a lost packet is not waited for.
@@ -90,6 +93,15 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed}, nil
 }
 
+// Refused reports whether an address refuses connections now; one that does not answer within a moment does not.
+func Refused(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address, probeTimeout)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, unix.ECONNREFUSED)
+}
+
 // CloseIdle closes the idle connections to all addresses that are not in use any more, and those idle for too long.
 func (c *Client) CloseIdle(inUse func(address string) bool, now time.Time) {
 	c.mu.Lock()
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -35,6 +35,8 @@
 	statedSpan    = 600 * time.Millisecond
 	// heldPerBeat is how many unreachable engines travel in a beat.
 	heldPerBeat = 8
+	// suspectsPerBeat is how many requests that crashed engines travel in a beat.
+	suspectsPerBeat = 4
 	// maxHolders bounds what a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
 	// inlineChanges is how many changes may travel in a beat.
@@ -125,6 +127,7 @@
 		held[i] = placing.Held{Engine: h.Engine, Until: wall.Add(h.Left.Duration())}
 	}
 	n.table.NoteHeld(held, wall)
+	n.suspects.Merge(b.Suspects, wall)
 	n.noteHolders(b.Holders, wall)
 	if b.Answer > 0 {
 		n.takeProof(b)
@@ -185,6 +188,7 @@
 		}
 	}
 	b.Answer = asked
+	b.Suspects = n.suspects.Rumours(suspectsPerBeat, time.Now())
 	return b
 }
 
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/metrics"
 	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -106,6 +107,7 @@
 		beats       *beat.Conn
 		control     *budget.Budget
 		metrics     *metrics.Text
+		suspects    *suspects.Table
 		stopping    atomic.Bool
 		storeLost   atomic.Bool
 		hint        chan ahead
@@ -148,7 +150,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), beats: beats, control: budget.New(now), metrics: metrics.NewText(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), beats: beats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
@@ -217,7 +219,7 @@
 func (n *Node) handler(s *Settings) http.Handler {
 	return forward.New(forward.Parts{
 		Names: n.platform.Names, Limits: forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}, Domain: s.Instance.FailureDomain,
-		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
+		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Suspects: n.suspects, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
 	})
 }
 
@@ -247,6 +249,7 @@
 func (n *Node) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepPeriod) {
 		now := time.Now()
+		n.suspects.Sweep(now)
 		addresses := make(map[string]bool)
 		list := n.world.Load().engines
 		for _, e := range list.All() {
