refactor: names for newcomers: heartbeat, boottime, entry.Instance, placing.PartID

The clock lies at the root, since versions need it too; a request counts once in the retry budget though its first engines refuse connections.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -125,7 +125,9 @@
 // mayContinue reports whether the request may be offered once more.
 func (x *exchange) mayContinue(world World, now time.Time) bool {
 	if x.sends == 0 {
-		x.Budget.Request(x.service, now)
+		if len(x.tried) == 0 {
+			x.Budget.Request(x.service, now)
+		}
 		return true
 	}
 	switch {
@@ -208,7 +210,7 @@
 	}
 }
 
-// unanswered follows an attempt without an answer.
+// unanswered follows an attempt without an answer: only one that was not sent has surely not run, whether the caller has left or not.
 func (x *exchange) unanswered(ctx context.Context, e engines.Engine, err error) result {
 	now := time.Now()
 	x.reason = err.Error()
--- a/connection/beat/beat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -1,4 +1,4 @@
-package beat
+package heartbeat
 
 import (
 	"bytes"
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -30,11 +30,11 @@
 )
 
 type (
-	// Beat is one heartbeat: who sends it, what it knows, and what it has.
-	Beat struct {
+	// Message is one heartbeat: who sends it, what it knows, and what it has.
+	Message struct {
 		// Ask is when the sender sent it, by its own clock, where it wants an answer.
 		Ask boottime.Instant
-		// Answer is the Ask of the beat that this one answers.
+		// Answer is the Ask of the heartbeat that this one answers.
 		Answer      boottime.Instant
 		Peer        string
 		Callers     string
@@ -84,9 +84,9 @@
 		Left   Millis
 	}
 
-	// Holder is an engine that has read a chain, with the time since.
+	// Holder is an engine that has read a part, with the time since.
 	Holder struct {
-		Chain  placing.Chain
+		Part   placing.PartID
 		Engine engines.Key
 		Age    Millis
 	}
@@ -106,7 +106,7 @@
 		Holders  []Holder
 	}
 
-	// Conn sends and receives beats.
+	// Conn sends and receives heartbeats.
 	Conn struct {
 		udp *net.UDPConn
 		tcp *net.TCPListener
@@ -137,8 +137,8 @@
 	_ = c.tcp.Close()
 }
 
-// Encode returns the datagram of a beat, without its changes or with fewer holders and rumours where it would be too long.
-func Encode(b Beat) []byte {
+// Encode returns the datagram of a heartbeat, without its changes or with fewer holders and rumours where it would be too long.
+func Encode(b Message) []byte {
 	body := wire.Encode(b)
 	if len(body) > MaxDatagram {
 		b.Changes, b.Changed = nil, false
@@ -155,7 +155,7 @@
 	return body
 }
 
-// Send sends an encoded beat.
+// Send sends an encoded heartbeat.
 func (c *Conn) Send(to string, body []byte) error {
 	at, err := netip.ParseAddrPort(to)
 	if err != nil {
@@ -171,8 +171,8 @@
 // Duration returns the time as the standard library's type.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
-// Run passes beats to hear and answers fetches with what give returns, until ctx ends.
-func (c *Conn) Run(ctx context.Context, hear func(Beat), give func(Ask) Fetched) error {
+// Run passes heartbeats to hear and answers fetches with what give returns, until ctx ends.
+func (c *Conn) Run(ctx context.Context, hear func(Message), give func(Ask) Fetched) error {
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	group, _ := errgroup.WithContext(ctx)
@@ -226,7 +226,7 @@
 	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), wire.MaxBodyBytes))
 }
 
-func (c *Conn) receive(ctx context.Context, hear func(Beat)) error {
+func (c *Conn) receive(ctx context.Context, hear func(Message)) error {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, _, err := c.udp.ReadFromUDP(buffer)
@@ -236,7 +236,7 @@
 		if err != nil {
 			continue
 		}
-		if b, err := wire.Decode[Beat](buffer[:n]); err == nil {
+		if b, err := wire.Decode[Message](buffer[:n]); err == nil {
 			hear(b)
 		}
 	}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/beat"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
@@ -17,41 +17,41 @@
 )
 
 const (
-	// beatPeriod is the pause between two rounds of heartbeats.
-	beatPeriod = 250 * time.Millisecond
-	// beatFanOut is how many instances are asked in a round.
-	beatFanOut = 2
+	// heartbeatPeriod is the pause between two rounds of heartbeats.
+	heartbeatPeriod = 250 * time.Millisecond
+	// heartbeatFanOut is how many instances are asked in a round.
+	heartbeatFanOut = 2
 	// announceFanOut is how many instances are asked at once where something changed.
 	announceFanOut = 16
 	// announcePause is the least time between two such rounds; changes in between wait for the next heartbeats.
 	announcePause = 100 * time.Millisecond
-	// holdersPerBeat, in questions, and rumoursPerBeat, in answers, keep beats within the control budget.
-	holdersPerBeat = 16
-	rumoursPerBeat = 8
-	// holderSpan is how far back the holders of a beat reach; in that time it meets nearly all instances of a small fleet.
+	// holdersPerMessage, in questions, and rumoursPerMessage, in answers, keep heartbeats within the control budget.
+	holdersPerMessage = 16
+	rumoursPerMessage = 8
+	// holderSpan is how far back the holders of a heartbeat reach; in that time it meets nearly all instances of a small fleet.
 	holderSpan = 1200 * time.Millisecond
-	// statedPerBeat is how many engines' loads travel in a beat, the highest first, and statedSpan how far back they reach.
-	statedPerBeat = 8
-	statedSpan    = 600 * time.Millisecond
-	// heldPerBeat is how many unreachable engines travel in a beat.
-	heldPerBeat = 8
-	// suspectsPerBeat is how many requests that crashed engines travel in a beat.
-	suspectsPerBeat = 4
+	// statedPerMessage is how many engines' loads travel in a heartbeat, the highest first, and statedSpan how far back they reach.
+	statedPerMessage = 8
+	statedSpan       = 600 * time.Millisecond
+	// heldPerMessage is how many unreachable engines travel in a heartbeat.
+	heldPerMessage = 8
+	// suspectsPerMessage is how many requests that crashed engines travel in a heartbeat.
+	suspectsPerMessage = 4
 	// maxHolders bounds what a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
-	// inlineChanges is how many changes may travel in a beat.
+	// inlineChanges is how many changes may travel in a heartbeat.
 	inlineChanges = 6
 )
 
-// beatAll sends heartbeats to some instances in each round.
-func (n *Node) beatAll(ctx context.Context) error {
+// sendHeartbeats sends heartbeats to some instances in each round.
+func (n *Instance) sendHeartbeats(ctx context.Context) error {
 	for _, seed := range n.settings.Load().Instance.Seeds {
 		n.knowSeed(seed.Addr().String())
 	}
 	alive := make(map[string]bool)
-	for pause.For(ctx, beatPeriod) {
+	for pause.For(ctx, heartbeatPeriod) {
 		alive = n.logLost(alive)
-		for _, m := range n.pick(beatFanOut) {
+		for _, m := range n.pick(heartbeatFanOut) {
 			n.send(m.Peer, n.ask(), budget.Membership)
 		}
 	}
@@ -59,7 +59,7 @@
 }
 
 // logLost logs the instances that are no longer heard of, and those heard of again, and returns those that are.
-func (n *Node) logLost(before map[string]bool) map[string]bool {
+func (n *Instance) logLost(before map[string]bool) map[string]bool {
 	now := boottime.Now()
 	alive := make(map[string]bool)
 	for _, m := range n.members.Alive(now) {
@@ -77,7 +77,7 @@
 }
 
 // knowSeed adds the instance at an IP number; all instances use the same port for peers.
-func (n *Node) knowSeed(ip string) {
+func (n *Instance) knowSeed(ip string) {
 	peer := joinPort(ip, n.settings.Load().Instance.Peers.Port())
 	if peer != n.self {
 		n.members.Known(peer, boottime.Now())
@@ -85,7 +85,7 @@
 }
 
 // announce tells as many instances as one round allows that this one's state or replica has changed; they ask for what they lack.
-func (n *Node) announce(now boottime.Instant) {
+func (n *Instance) announce(now boottime.Instant) {
 	last := boottime.Instant(n.announced.Load())
 	if now.Sub(last) < announcePause || !n.announced.CompareAndSwap(int64(last), int64(now)) {
 		return
@@ -96,14 +96,14 @@
 }
 
 // pick returns random instances.
-func (n *Node) pick(count int) []members.Member {
+func (n *Instance) pick(count int) []members.Member {
 	all := n.members.All(boottime.Now())
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(count, len(all))]
 }
 
 // hear takes a heartbeat, answers it, and asks for what this replica lacks.
-func (n *Node) hear(b beat.Beat) {
+func (n *Instance) hear(b heartbeat.Message) {
 	if b.Peer == n.self {
 		return
 	}
@@ -144,7 +144,7 @@
 }
 
 // takeProof takes what an answer says of the replicas: it was true at or after the moment at which this instance asked.
-func (n *Node) takeProof(b beat.Beat) {
+func (n *Instance) takeProof(b heartbeat.Message) {
 	if b.ProofAge < 0 {
 		return
 	}
@@ -156,7 +156,7 @@
 }
 
 // answer sends this instance's state to one that asked, with the changes that it lacks if they are few.
-func (n *Node) answer(b beat.Beat) {
+func (n *Instance) answer(b heartbeat.Message) {
 	reply := n.reply(b.Ask)
 	kind := budget.Membership
 	if b.Revision > 0 && b.Revision < reply.Revision {
@@ -169,52 +169,52 @@
 }
 
 // ask returns a question, with what this instance has learnt of prompts.
-func (n *Node) ask() beat.Beat {
+func (n *Instance) ask() heartbeat.Message {
 	b := n.withLoads(n.core())
 	wall := time.Now()
-	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerBeat), wall)
+	b.Holders = holdersNow(n.table.Recent(wall.Add(-holderSpan), holdersPerMessage), wall)
 	b.Ask = boottime.Now()
 	return b
 }
 
 // reply returns an answer, with what this instance has heard of others.
-func (n *Node) reply(asked boottime.Instant) beat.Beat {
+func (n *Instance) reply(asked boottime.Instant) heartbeat.Message {
 	b := n.withLoads(n.core())
 	now := boottime.Now()
-	for _, m := range n.members.Latest(rumoursPerBeat, now) {
+	for _, m := range n.members.Latest(rumoursPerMessage, now) {
 		if at, err := netip.ParseAddrPort(m.Peer); err == nil && at.Addr().Is4() {
 			ip := at.Addr().As4()
-			b.Rumours = append(b.Rumours, beat.Rumour{IP: binary.BigEndian.Uint32(ip[:]), Age: beat.MillisOf(now.Sub(m.Heard))})
+			b.Rumours = append(b.Rumours, heartbeat.Rumour{IP: binary.BigEndian.Uint32(ip[:]), Age: heartbeat.MillisOf(now.Sub(m.Heard))})
 		}
 	}
 	b.Answer = asked
-	b.Suspects = n.suspects.Rumours(suspectsPerBeat, time.Now())
+	b.Suspects = n.suspects.Rumours(suspectsPerMessage, time.Now())
 	return b
 }
 
-func (n *Node) core() beat.Beat {
+func (n *Instance) core() heartbeat.Message {
 	s := n.settings.Load()
 	revision, _, _ := n.mirror.State()
-	return beat.Beat{
+	return heartbeat.Message{
 		Peer: n.self, Callers: s.Instance.Callers.String(), Domain: s.Instance.FailureDomain, State: n.state(), Incarnation: n.incarnation,
 		StoreLost: n.storeLost.Load(), Warm: n.warm.Load(), Revision: revision, ProofAge: n.proofAge(boottime.Now()),
 	}
 }
 
-func (n *Node) withLoads(b beat.Beat) beat.Beat {
+func (n *Instance) withLoads(b heartbeat.Message) heartbeat.Message {
 	wall := time.Now()
 	b.Loads = n.table.Loads(wall)
-	for _, l := range n.table.Stated(wall.Add(-statedSpan), statedPerBeat) {
-		b.Stated = append(b.Stated, beat.Load{Engine: l.Engine, Requests: l.Requests, Age: beat.MillisOf(wall.Sub(l.At))})
+	for _, l := range n.table.Stated(wall.Add(-statedSpan), statedPerMessage) {
+		b.Stated = append(b.Stated, heartbeat.Load{Engine: l.Engine, Requests: l.Requests, Age: heartbeat.MillisOf(wall.Sub(l.At))})
 	}
-	for _, h := range n.table.HeldHere(heldPerBeat, wall) {
-		b.Held = append(b.Held, beat.Held{Engine: h.Engine, Left: beat.MillisOf(h.Until.Sub(wall))})
+	for _, h := range n.table.HeldHere(heldPerMessage, wall) {
+		b.Held = append(b.Held, heartbeat.Held{Engine: h.Engine, Left: heartbeat.MillisOf(h.Until.Sub(wall))})
 	}
 	return b
 }
 
 // rumours translates what a peer has heard into addresses at this fleet's port for peers.
-func (n *Node) rumours(list []beat.Rumour) []members.Rumour {
+func (n *Instance) rumours(list []heartbeat.Rumour) []members.Rumour {
 	port := n.settings.Load().Instance.Peers.Port()
 	rumours := make([]members.Rumour, 0, len(list))
 	for _, r := range list {
@@ -227,45 +227,45 @@
 	return rumours
 }
 
-// send sends a beat within the control budget; loads and holders are left out first.
-func (n *Node) send(to string, b beat.Beat, kind budget.Kind) {
-	body := beat.Encode(b)
+// send sends a heartbeat within the control budget; loads and holders are left out first.
+func (n *Instance) send(to string, b heartbeat.Message, kind budget.Kind) {
+	body := heartbeat.Encode(b)
 	core := b
 	core.Loads, core.Stated, core.Holders = nil, nil, nil
 	now := time.Now()
-	short := beat.Encode(core)
+	short := heartbeat.Encode(core)
 	if !n.control.Spend(kind, len(short), now) {
 		return
 	}
 	if !n.control.Spend(budget.Sums, len(body)-len(short), now) {
 		body = short
 	}
-	if err := n.beats.Send(to, body); err != nil {
+	if err := n.heartbeats.Send(to, body); err != nil {
 		n.log.Debug("heartbeat not sent", zap.String("peer", to), zap.Error(err))
 	}
 }
 
 // give returns what another instance fetches.
-func (n *Node) give(ask beat.Ask) beat.Fetched {
+func (n *Instance) give(ask heartbeat.Ask) heartbeat.Fetched {
 	if ask.Holders {
-		return beat.Fetched{ProofAge: beat.Unproven, Holders: holdersNow(n.table.Holders(maxHolders), time.Now())}
+		return heartbeat.Fetched{ProofAge: heartbeat.Unproven, Holders: holdersNow(n.table.Holders(maxHolders), time.Now())}
 	}
 	age := n.proofAge(boottime.Now())
-	return beat.Fetched{Delta: n.mirror.Since(ask.Since), ProofAge: age}
+	return heartbeat.Fetched{Delta: n.mirror.Since(ask.Since), ProofAge: age}
 }
 
-func (n *Node) noteHolders(list []beat.Holder, now time.Time) {
+func (n *Instance) noteHolders(list []heartbeat.Holder, now time.Time) {
 	holders := make([]placing.Holder, len(list))
 	for i, h := range list {
-		holders[i] = placing.Holder{Chain: h.Chain, Engine: h.Engine, At: now.Add(-h.Age.Duration())}
+		holders[i] = placing.Holder{Part: h.Part, Engine: h.Engine, At: now.Add(-h.Age.Duration())}
 	}
 	n.table.NoteHolders(holders)
 }
 
-func holdersNow(list []placing.Holder, now time.Time) []beat.Holder {
-	holders := make([]beat.Holder, len(list))
+func holdersNow(list []placing.Holder, now time.Time) []heartbeat.Holder {
+	holders := make([]heartbeat.Holder, len(list))
 	for i, h := range list {
-		holders[i] = beat.Holder{Chain: h.Chain, Engine: h.Engine, Age: beat.MillisOf(now.Sub(h.At))}
+		holders[i] = heartbeat.Holder{Part: h.Part, Engine: h.Engine, Age: heartbeat.MillisOf(now.Sub(h.At))}
 	}
 	return holders
 }
--- a/process/entry/node.go
+++ b/process/entry/instance.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/beat"
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/metrics"
@@ -92,8 +92,8 @@
 	// CompactedError says that the store has dropped the history after a revision.
 	CompactedError struct{ After ident.Revision }
 
-	// Node is one instance.
-	Node struct {
+	// Instance is one instance.
+	Instance struct {
 		settings    atomic.Pointer[Settings]
 		platform    Platform
 		log         *zap.Logger
@@ -104,7 +104,7 @@
 		table       *placing.Table
 		budget      *retries.Budget
 		client      *upstream.Client
-		beats       *beat.Conn
+		heartbeats  *heartbeat.Conn
 		control     *budget.Budget
 		metrics     *metrics.Text
 		suspects    *suspects.Table
@@ -137,8 +137,8 @@
 func (e *CompactedError) Error() string { return "the history is no longer kept" }
 
 // New returns an instance, not yet running; it fails where its peer address is taken.
-func New(s Settings, p Platform, log *zap.Logger, now time.Time) (*Node, error) {
-	beats, err := beat.Listen(s.Instance.Peers.String())
+func New(s Settings, p Platform, log *zap.Logger, now time.Time) (*Instance, error) {
+	heartbeats, err := heartbeat.Listen(s.Instance.Peers.String())
 	if err != nil {
 		return nil, err
 	}
@@ -146,11 +146,11 @@
 	if factor == 0 {
 		factor = defaultLoadFactor
 	}
-	n := &Node{
+	n := &Instance{
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), beats: beats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), heartbeats: heartbeats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
@@ -158,7 +158,7 @@
 }
 
 // Run serves until ctx ends, then finishes what is in progress and returns.
-func (n *Node) Run(ctx context.Context) error {
+func (n *Instance) Run(ctx context.Context) error {
 	began := time.Now()
 	s := n.settings.Load()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -180,8 +180,8 @@
 		}
 		group.Go(func() error { return ignoreClosed(each.server.Serve(listener)) })
 	}
-	group.Go(func() error { return n.beats.Run(groupCtx, n.hear, n.give) })
-	group.Go(func() error { return n.beatAll(groupCtx) })
+	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.hear, n.give) })
+	group.Go(func() error { return n.sendHeartbeats(groupCtx) })
 	group.Go(func() error { return n.follow(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
 	group.Go(func() error { return n.register(groupCtx) })
@@ -211,12 +211,12 @@
 }
 
 // Reload takes changed settings; addresses stay as they are.
-func (n *Node) Reload(s Settings) {
+func (n *Instance) Reload(s Settings) {
 	n.settings.Store(&s)
 	n.log.Info("settings reloaded")
 }
 
-func (n *Node) handler(s *Settings) http.Handler {
+func (n *Instance) handler(s *Settings) http.Handler {
 	return forward.New(forward.Parts{
 		Names: n.platform.Names, Limits: forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}, Domain: s.Instance.FailureDomain,
 		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Suspects: n.suspects, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
@@ -224,7 +224,7 @@
 }
 
 // idleLimit returns how long a caller's connection may be idle by the configuration in force.
-func (n *Node) idleLimit() time.Duration {
+func (n *Instance) idleLimit() time.Duration {
 	if c := n.world.Load().configuration; c != nil {
 		return c.Limits.IdleTimeout
 	}
@@ -232,7 +232,7 @@
 }
 
 // shutDown leaves the address answers, serves on while callers may still come, and finishes what is in progress.
-func (n *Node) shutDown(ctx context.Context, callers *http.Server) {
+func (n *Instance) shutDown(ctx context.Context, callers *http.Server) {
 	s := n.settings.Load()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
@@ -246,7 +246,7 @@
 }
 
 // sweep forgets what is gone.
-func (n *Node) sweep(ctx context.Context) error {
+func (n *Instance) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepPeriod) {
 		now := time.Now()
 		n.suspects.Sweep(now)
@@ -264,10 +264,10 @@
 	return ctx.Err()
 }
 
-func (n *Node) proofAge(now boottime.Instant) time.Duration {
+func (n *Instance) proofAge(now boottime.Instant) time.Duration {
 	_, proven, loaded := n.mirror.State()
 	if !loaded {
-		return beat.Unproven
+		return heartbeat.Unproven
 	}
 	return now.Sub(proven)
 }
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -8,14 +8,14 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
 // serveMetrics serves counters and histograms as text, and the counters as expvar.
-func (n *Node) serveMetrics(ctx context.Context, group *errgroup.Group, address string) error {
+func (n *Instance) serveMetrics(ctx context.Context, group *errgroup.Group, address string) error {
 	n.gauges()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -38,7 +38,7 @@
 	return nil
 }
 
-func (n *Node) gauges() {
+func (n *Instance) gauges() {
 	n.metrics.Gauge("configuration_version", func() float64 {
 		if c := n.world.Load().configuration; c != nil {
 			return float64(c.Version)
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/beat"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/process/readers"
@@ -33,7 +33,7 @@
 )
 
 // readStore reads the store while this instance is to do so for all.
-func (n *Node) readStore(ctx context.Context) error {
+func (n *Instance) readStore(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
 		if !n.isToRead() {
@@ -61,10 +61,10 @@
 }
 
 // isToRead reports whether this instance reads the store now.
-func (n *Node) isToRead() bool {
+func (n *Instance) isToRead() bool {
 	now := boottime.Now()
 	age := n.proofAge(now)
-	if age == beat.Unproven {
+	if age == heartbeat.Unproven {
 		return true
 	}
 	if n.stopping.Load() {
@@ -84,7 +84,7 @@
 }
 
 // readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
-func (n *Node) readOnce(ctx context.Context) error {
+func (n *Instance) readOnce(ctx context.Context) error {
 	n.metrics.Add("storeReads", 1)
 	sent := boottime.Now()
 	revision, _, loaded := n.mirror.State()
@@ -117,17 +117,19 @@
 	return nil
 }
 
-func (n *Node) schedule() readers.Schedule { return readers.NewSchedule(n.settings.Load().denyAge()) }
+func (n *Instance) schedule() readers.Schedule {
+	return readers.NewSchedule(n.settings.Load().denyAge())
+}
 
 // news applies what was read and lets the other instances know.
-func (n *Node) news(d mirror.Delta, proven boottime.Instant) {
+func (n *Instance) news(d mirror.Delta, proven boottime.Instant) {
 	if n.apply(d, proven) {
 		n.announce(boottime.Now())
 	}
 }
 
 // follow fetches from instances whose replicas are ahead of this one.
-func (n *Node) follow(ctx context.Context) error {
+func (n *Instance) follow(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,10 +142,10 @@
 	}
 }
 
-func (n *Node) fetch(ctx context.Context, peer string) {
+func (n *Instance) fetch(ctx context.Context, peer string) {
 	revision, _, _ := n.mirror.State()
 	asked := boottime.Now()
-	f, err := beat.Fetch(ctx, peer, beat.Ask{Since: revision})
+	f, err := heartbeat.Fetch(ctx, peer, heartbeat.Ask{Since: revision})
 	if err != nil {
 		n.log.Debug("replica not fetched", zap.String("peer", peer), zap.Error(err))
 		return
@@ -154,12 +156,12 @@
 }
 
 // take applies the changes that came with an answer.
-func (n *Node) take(b beat.Beat, proven boottime.Instant) {
+func (n *Instance) take(b heartbeat.Message, proven boottime.Instant) {
 	n.apply(mirror.Delta{Entries: b.Changes, Revision: b.Revision}, proven)
 }
 
 // register keeps this instance's peer address in the store, for instances that start later.
-func (n *Node) register(ctx context.Context) error {
+func (n *Instance) register(ctx context.Context) error {
 	name := n.settings.Load().Instance.Name
 	lease := ""
 	for ctx.Err() == nil {
@@ -176,7 +178,7 @@
 	return ctx.Err()
 }
 
-func (n *Node) renew(ctx context.Context, lease *string, name string) error {
+func (n *Instance) renew(ctx context.Context, lease *string, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if *lease == "" {
--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/beat"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -26,7 +26,7 @@
 )
 
 // warmUp learns what engines hold of prompts: from a peer that knows, or, where the whole fleet has restarted, from the engines, each asked by one instance.
-func (n *Node) warmUp(ctx context.Context) error {
+func (n *Instance) warmUp(ctx context.Context) error {
 	if n.settings.Load().Instance.FirstStart {
 		n.warm.Store(true)
 		return nil
@@ -60,8 +60,8 @@
 	return nil
 }
 
-func (n *Node) fetchHolders(ctx context.Context, peer string) bool {
-	f, err := beat.Fetch(ctx, peer, beat.Ask{Holders: true})
+func (n *Instance) fetchHolders(ctx context.Context, peer string) bool {
+	f, err := heartbeat.Fetch(ctx, peer, heartbeat.Ask{Holders: true})
 	if err != nil {
 		n.log.Info("prompts not fetched", zap.String("peer", peer), zap.Error(err))
 		return false
@@ -71,7 +71,7 @@
 }
 
 // listEngines asks those engines for which this instance is the first of all living ones.
-func (n *Node) listEngines(ctx context.Context) {
+func (n *Instance) listEngines(ctx context.Context) {
 	living := []rank.Member{{Name: n.self, Weight: 1}}
 	for _, m := range n.members.Alive(boottime.Now()) {
 		living = append(living, rank.Member{Name: m.Peer, Weight: 1})
@@ -86,7 +86,7 @@
 	}
 }
 
-func (n *Node) listEngine(ctx context.Context, e engines.Engine) {
+func (n *Instance) listEngine(ctx context.Context, e engines.Engine) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	parts, err := n.platform.ListCached(ctx, e.Address)
@@ -97,7 +97,7 @@
 	now := time.Now()
 	holders := make([]placing.Holder, len(parts))
 	for i, p := range parts {
-		holders[i] = placing.Holder{Chain: p.Chain, Engine: e.Key, At: now}
+		holders[i] = placing.Holder{Part: p.ID, Engine: e.Key, At: now}
 	}
 	n.table.NoteHolders(holders)
 	n.log.Info("engine listed", zap.String("engine", string(e.ID)), zap.Int("parts", len(parts)))
--- a/process/entry/world.go
+++ b/process/entry/world.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
@@ -15,7 +15,7 @@
 )
 
 // worldNow returns what requests are decided on at this moment.
-func (n *Node) worldNow() forward.World {
+func (n *Instance) worldNow() forward.World {
 	now := boottime.Now()
 	w := n.world.Load()
 	age := n.proofAge(now)
@@ -26,7 +26,7 @@
 }
 
 // apply takes changes of the store into the replica and into what requests are decided on.
-func (n *Node) apply(d mirror.Delta, proven boottime.Instant) bool {
+func (n *Instance) apply(d mirror.Delta, proven boottime.Instant) bool {
 	n.worldMu.Lock()
 	defer n.worldMu.Unlock()
 	news := n.mirror.Apply(d, proven)
@@ -53,7 +53,7 @@
 }
 
 // readConfiguration takes the configuration where it can be read and is newer than the one in force.
-func (n *Node) readConfiguration(next *world) {
+func (n *Instance) readConfiguration(next *world) {
 	entry, ok := n.mirror.Get(n.platform.Keys.Configuration)
 	if !ok {
 		return
@@ -72,7 +72,7 @@
 }
 
 // readEngines takes all entries of engines that can be read.
-func (n *Node) readEngines(next *world) {
+func (n *Instance) readEngines(next *world) {
 	var list []engines.Engine
 	for _, entry := range n.mirror.List(n.platform.Keys.Engines) {
 		e, err := n.platform.Decoder.Engine(entry.Key, entry.Value)
@@ -87,7 +87,7 @@
 }
 
 // logBroken logs an entry that cannot be read, once for each of its revisions.
-func (n *Node) logBroken(entry mirror.Entry, err error) {
+func (n *Instance) logBroken(entry mirror.Entry, err error) {
 	if n.lastBroken[entry.Key] == entry.Revision {
 		return
 	}
@@ -95,7 +95,7 @@
 	n.log.Warn("an entry of the store cannot be read", zap.String("key", entry.Key), zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
 }
 
-func (n *Node) state() members.State {
+func (n *Instance) state() members.State {
 	switch {
 	case n.stopping.Load():
 		return members.Stopping
@@ -105,7 +105,7 @@
 	return members.Ready
 }
 
-func (n *Node) readyHandler() http.Handler {
+func (n *Instance) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if n.state() != members.Ready {
@@ -116,7 +116,7 @@
 }
 
 // directoryHandler answers callers that ask which addresses to use: the ready instances, or all living ones where none is ready.
-func (n *Node) directoryHandler() http.Handler {
+func (n *Instance) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.DirectoryPath, func(w http.ResponseWriter, _ *http.Request) {
 		n.platform.WriteDirectory(w, n.addresses(), min(addressValidity, max(n.settings.Load().Bounds.MaxAddressValidity.Std(), time.Second)))
@@ -124,7 +124,7 @@
 	return mux
 }
 
-func (n *Node) addresses() []string {
+func (n *Instance) addresses() []string {
 	self := n.settings.Load().Instance.Callers.String()
 	var ready, living []string
 	if s := n.state(); s == members.Ready {
--- a/process/logs/bounded.go
+++ b/process/logs/bounded.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 )
 
 // States of an instance.
--- a/process/members/members_test.go
+++ b/process/members/members_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 )
 
 const start = boottime.Instant(time.Hour)
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -181,8 +181,8 @@
 	s.begun++
 	s.reading += w.reading
 	for i, p := range r.Parts {
-		h := Holder{Chain: p.Chain, Engine: key, At: now}
-		_, seen := t.chains.Peek(p.Chain)
+		h := Holder{Part: p.ID, Engine: key, At: now}
+		_, seen := t.parts.Peek(p.ID)
 		t.noteHolder(h)
 		// The last part belongs to the request alone until it comes again.
 		if i < len(r.Parts)-1 || seen {
@@ -252,7 +252,7 @@
 func (t *Table) longest(all *engines.List, parts []Part, now time.Time) held {
 	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
-		holders, _ := t.chains.Peek(parts[i].Chain)
+		holders, _ := t.parts.Peek(parts[i].ID)
 		for _, h := range holders {
 			if _, ok := all.Get(h.Engine); ok && now.Sub(h.At) < holderLife {
 				return held{engine: h.Engine, tokens: sum}
@@ -267,7 +267,7 @@
 func (t *Table) cached(key engines.Key, parts []Part, now time.Time) int {
 	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
-		holders, _ := t.chains.Peek(parts[i].Chain)
+		holders, _ := t.parts.Peek(parts[i].ID)
 		for _, h := range holders {
 			if h.Engine == key && now.Sub(h.At) < holderLife {
 				return sum
@@ -286,7 +286,7 @@
 	if len(parts) < 2 {
 		return make([]int, len(list))
 	}
-	key := strconv.FormatUint(uint64(parts[len(parts)-2].Chain), 16)
+	key := strconv.FormatUint(uint64(parts[len(parts)-2].ID), 16)
 	candidates := make([]rank.Member, len(list))
 	for i, e := range list {
 		candidates[i] = rank.Member{Name: string(e.ID), Weight: 1}
--- a/request/placing/placing_test.go
+++ b/request/placing/placing_test.go
@@ -81,7 +81,7 @@
 	first, work := choose(t, table, all, Request{Service: llm, Parts: prompt("a", "b", "own")}, start)
 	work.Started(start)
 	for _, e := range all.Of(llm) {
-		table.NoteHolders([]Holder{{Chain: prompt("a")[0].Chain, Engine: e.Key, At: start.Add(time.Second)}})
+		table.NoteHolders([]Holder{{Part: prompt("a")[0].ID, Engine: e.Key, At: start.Add(time.Second)}})
 	}
 	again, _ := choose(t, table, all, Request{Service: llm, Parts: prompt("a", "b", "own2")}, start.Add(2*time.Second))
 	if again.Engine.ID != first.Engine.ID || again.Cached != 2000 {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// maxChains bounds how many chains of prompt parts are remembered.
-	maxChains = 8192
-	// holdersPerChain is how many engines are remembered for a chain.
-	holdersPerChain = 4
+	// maxParts bounds how many parts of prompts are remembered.
+	maxParts = 8192
+	// holdersPerPart is how many engines are remembered for a part.
+	holdersPerPart = 4
 	// maxRecent bounds the holders that wait to be told to other instances.
 	maxRecent = 64
 	// firstRate is the reading rate of prompts, in tokens a millisecond, until one was measured.
@@ -37,18 +37,18 @@
 )
 
 type (
-	// Chain identifies a part of prompts; engines that hold it hold the parts before it.
-	Chain uint32
+	// PartID identifies a part of prompts; engines that hold it hold the parts before it.
+	PartID uint32
 
 	// Part is one part of a prompt.
 	Part struct {
-		Chain  Chain
+		ID     PartID
 		Tokens int
 	}
 
-	// Holder is an engine that has read a chain.
+	// Holder is an engine that has read a part.
 	Holder struct {
-		Chain  Chain
+		Part   PartID
 		Engine engines.Key
 		At     time.Time
 	}
@@ -79,7 +79,7 @@
 		policy  Policy
 		engines map[engines.Key]*state
 		remote  map[string]remote
-		chains  *simplelru.LRU[Chain, []Holder]
+		parts   *simplelru.LRU[PartID, []Holder]
 		// recent are the holders that this instance has noted itself, oldest first.
 		recent []Holder
 		// rate is how many tokens of a prompt engines read in a millisecond, learnt from first answers.
@@ -119,16 +119,16 @@
 
 // New returns a table that knows of nothing.
 func New(p Policy) *Table {
-	chains, err := simplelru.NewLRU[Chain, []Holder](maxChains, nil)
+	parts, err := simplelru.NewLRU[PartID, []Holder](maxParts, nil)
 	if err != nil {
 		panic(err)
 	}
-	return &Table{policy: p, engines: make(map[engines.Key]*state), remote: make(map[string]remote), chains: chains, rate: firstRate}
+	return &Table{policy: p, engines: make(map[engines.Key]*state), remote: make(map[string]remote), parts: parts, rate: firstRate}
 }
 
 // PartOf returns a part of a prompt of a model by the part's name.
 func PartOf(name string, tokens int, model ident.Model) Part {
-	return Part{Chain: Chain(xxhash.Sum64String(string(model) + "\x00" + name)), Tokens: tokens}
+	return Part{ID: PartID(xxhash.Sum64String(string(model) + "\x00" + name)), Tokens: tokens}
 }
 
 // Parts returns the parts of a prompt in order.
@@ -160,7 +160,7 @@
 	t.remote[instance] = remote{loads: loads, at: now}
 }
 
-// NoteHolders takes what other instances know of engines that hold chains.
+// NoteHolders takes what other instances know of engines that hold parts.
 func (t *Table) NoteHolders(list []Holder) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,8 +185,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Holder
-	for _, chain := range t.chains.Keys() {
-		holders, _ := t.chains.Peek(chain)
+	for _, part := range t.parts.Keys() {
+		holders, _ := t.parts.Peek(part)
 		list = append(list, holders...)
 	}
 	return list[max(len(list)-limit, 0):]
@@ -304,8 +304,8 @@
 }
 
 func (t *Table) noteHolder(h Holder) {
-	list, _ := t.chains.Get(h.Chain)
-	kept := make([]Holder, 0, holdersPerChain)
+	list, _ := t.parts.Get(h.Part)
+	kept := make([]Holder, 0, holdersPerPart)
 	kept = append(kept, h)
 	for _, old := range list {
 		if old.Engine == h.Engine {
@@ -314,11 +314,11 @@
 			}
 			continue
 		}
-		if len(kept) < holdersPerChain {
+		if len(kept) < holdersPerPart {
 			kept = append(kept, old)
 		}
 	}
-	t.chains.Add(h.Chain, kept)
+	t.parts.Add(h.Part, kept)
 }
 
 func (s *state) state(requests int, at time.Time) {
--- a/version/mirror/mirror.go
+++ b/version/mirror/mirror.go
@@ -5,8 +5,8 @@
 	"strings"
 	"sync"
 
+	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/boottime"
 )
 
 // logLength is how many changes are kept for replicas that lag; one that lags more gets all entries.
