fix(forward): a request that an engine has answered well is not suspected

Ruled out: stale connections, engines held. Change: an instance that has seen the request answered well suspects it no more, whatever others say.

--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -20,6 +20,10 @@
 		cause string
 	}{
 		{1, "none: the usual run"},
+		{300, "a common request counted as a suspect after two engines had crashed for other reasons, in a stream"},
+		{320, "the same, with engines that lose answers"},
+		{332, "the same, with an instance killed in between"},
+		{341, "the same, for a request that may not repeat"},
 	}
 	binary, err := os.Executable()
 	if err != nil {
@@ -27,8 +31,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.cause, func(t *testing.T) {
+			t.Parallel()
 			var out bytes.Buffer
-			err := soak.Run(t.Context(), soak.Options{Seed: tt.seed, Duration: 3 * time.Second, Instances: 3, Binary: binary, Dir: t.TempDir(), Out: &out})
+			err := soak.Run(t.Context(), soak.Options{Seed: tt.seed, Duration: 8 * time.Second, Instances: 3, Binary: binary, Dir: t.TempDir(), Out: &out})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/connection/forward/crashes.go
+++ b/connection/forward/crashes.go
@@ -4,10 +4,14 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/suspects"
 )
 
+// maxGood bounds how many requests are remembered as answered well.
+const maxGood = 4096
+
 // crashWindow is how soon after a lost answer an engine must be found unreachable for the request to be suspected.
 const crashWindow = time.Second
 
@@ -17,6 +21,8 @@
 		suspects *suspects.Table
 		mu       sync.Mutex
 		lost     map[ident.Engine][]lostAnswer
+		// good are requests that an engine has answered well, so that they crash none.
+		good *simplelru.LRU[uint64, struct{}]
 	}
 
 	lostAnswer struct {
@@ -26,7 +32,32 @@
 )
 
 func newCrashes(t *suspects.Table) *crashes {
-	return &crashes{suspects: t, lost: make(map[ident.Engine][]lostAnswer)}
+	good, err := simplelru.NewLRU[uint64, struct{}](maxGood, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &crashes{suspects: t, lost: make(map[ident.Engine][]lostAnswer), good: good}
+}
+
+// answeredWell notes that a request does not crash engines.
+func (c *crashes) answeredWell(fingerprint uint64) {
+	if fingerprint == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.good.Add(fingerprint, struct{}{})
+	c.suspects.Cleared(fingerprint)
+}
+
+// engines returns the engines that a request is suspected to have crashed; one that was answered well is not.
+func (c *crashes) engines(fingerprint uint64) []ident.Engine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fingerprint == 0 || c.good.Contains(fingerprint) {
+		return nil
+	}
+	return c.suspects.Engines(fingerprint)
 }
 
 // answerLost notes that an engine broke off a request; 0 is the fingerprint of requests that are never suspected.
@@ -46,7 +77,9 @@
 	recent := c.recent(e, now)
 	delete(c.lost, e)
 	for _, l := range recent {
-		c.suspects.Crashed(l.fingerprint, e, now)
+		if !c.good.Contains(l.fingerprint) {
+			c.suspects.Crashed(l.fingerprint, e, now)
+		}
 	}
 	return len(recent)
 }
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -100,7 +100,7 @@
 		if ctx.Err() != nil || !x.mayContinue(world, now) {
 			break
 		}
-		crashed := x.Suspects.Engines(x.fingerprint)
+		crashed := x.crashes.engines(x.fingerprint)
 		if len(crashed) >= suspects.MaxEngines {
 			x.verdict = "the request crashed as many engines as it may"
 			break
@@ -256,6 +256,7 @@
 		return failed
 	}
 	x.Table.Answered(e, now)
+	x.crashes.answeredWell(x.fingerprint)
 	x.pass(a)
 	return answered
 }
@@ -292,7 +293,7 @@
 	}
 	no := refusal{status: http.StatusBadGateway, reason: x.verdict}
 	switch {
-	case len(x.Suspects.Engines(x.fingerprint)) >= suspects.MaxEngines:
+	case len(x.crashes.engines(x.fingerprint)) >= suspects.MaxEngines:
 	case x.runs == 0:
 		no.status, no.after = http.StatusServiceUnavailable, retryLater
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -572,3 +572,33 @@
 		t.Fatal("the pipe never filled, so nothing was shown")
 	}
 }
+
+// TestCommonRequestIsNotSuspectedWhereEnginesCrash: many callers send the same body, and engines crash under it for reasons of their own.
+func TestCommonRequestIsNotSuspectedWhereEnginesCrash(t *testing.T) {
+	var crash atomic.Bool
+	f := newFixture(t, routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}, func(int, http.ResponseWriter, *http.Request) {})
+	for _, s := range f.servers[:2] {
+		s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+			if crash.Load() {
+				_ = s.Listener.Close()
+				reset()
+			}
+			good(w, "ok")
+		})
+	}
+	f.servers[2].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+		good(w, "ok")
+	})
+	if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	crash.Store(true)
+	for range 8 {
+		_, _, _ = f.send(t, nil)
+	}
+	if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("after two crashes: %v, %v", resp, err)
+	}
+}
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -85,6 +85,7 @@
 			x.reason = "the stream was empty"
 			return lost
 		}
+		x.crashes.answeredWell(x.fingerprint)
 		x.log(outcomeAnswered, http.StatusOK)
 		return answered
 	}
