--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"os"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/process/logs"
 )
@@ -35,7 +33,7 @@
 		}
 	}
 	for _, name := range files {
-		if err := readLog(story, name); err != nil {
+		if err := story.ReadFile(name); err != nil {
 			return err
 		}
 	}
@@ -48,12 +46,3 @@
 	}
 	return nil
 }
-
-func readLog(story *logs.Story, name string) error {
-	f, err := os.Open(name)
-	if err != nil {
-		return errors.Wrap(err, "open log")
-	}
-	defer func() { _ = f.Close() }()
-	return story.Read(name, f)
-}
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -66,6 +66,10 @@
 		arrived     time.Time
 		deadline    time.Time
 		tried       []ident.Engine
+		// world is what the present attempt is decided on.
+		world World
+		// suspected says that the request is refused for the engines that it crashed.
+		suspected bool
 		// sends counts all offers to engines, and runs those that an engine may have run.
 		sends, runs int
 		// kept is an engine's own failure, for the caller where nothing better comes.
@@ -96,21 +100,21 @@
 	defer cancel()
 	for {
 		now := time.Now()
-		world := x.World()
-		if ctx.Err() != nil || !x.mayContinue(world, now) {
+		x.world = x.World()
+		if ctx.Err() != nil || !x.mayContinue(now) {
 			break
 		}
 		crashed := x.crashes.engines(x.fingerprint)
 		if len(crashed) >= suspects.MaxEngines {
-			x.verdict = "the request crashed as many engines as it may"
+			x.suspected, x.verdict = true, "the request crashed as many engines as it may"
 			break
 		}
-		choice, work, ok := x.Table.Choose(world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: append(crashed, x.tried...)}, now)
+		choice, work, ok := x.Table.Choose(x.world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: append(crashed, x.tried...)}, now)
 		if !ok {
 			x.verdict = "no engine is left"
 			break
 		}
-		x.logPlaced(choice, world)
+		x.logPlaced(choice)
 		result := x.attempt(ctx, choice, work, now)
 		work.End()
 		if result == answered {
@@ -123,7 +127,7 @@
 }
 
 // mayContinue reports whether the request may be offered once more.
-func (x *exchange) mayContinue(world World, now time.Time) bool {
+func (x *exchange) mayContinue(now time.Time) bool {
 	if x.sends == 0 {
 		if len(x.tried) == 0 {
 			x.Budget.Request(x.service, now)
@@ -137,7 +141,7 @@
 		x.verdict = "it may have run and may not run again"
 	case x.runs >= x.route.MaxEngines && x.runs > 0:
 		x.verdict = "as many engines as the route allows have had it"
-	case !x.Budget.Take(x.service, world.Instances, now):
+	case !x.Budget.Take(x.service, x.world.Instances, now):
 		x.verdict = "no budget for a repeat"
 		x.Metrics.Add("retriesOverBudget", 1)
 	}
@@ -194,7 +198,7 @@
 	if x.stream != nil && x.stream.last != "" {
 		header.Set(x.Names.LastEvent, x.stream.last)
 	}
-	if source, ok := x.World().Engines.Get(choice.Source); ok && (choice.Guessed || choice.Fetched >= leastFetch) && x.Names.FetchFrom != "" {
+	if source, ok := x.world.Engines.Get(choice.Source); ok && (choice.Guessed || choice.Fetched >= leastFetch) && x.Names.FetchFrom != "" {
 		header.Set(x.Names.FetchFrom, source.Address)
 	}
 	idle := reuseIdle
@@ -293,8 +297,7 @@
 	}
 	no := refusal{status: http.StatusBadGateway, reason: x.verdict}
 	switch {
-	case len(x.crashes.engines(x.fingerprint)) >= suspects.MaxEngines:
-	case x.runs == 0:
+	case x.runs == 0 && !x.suspected:
 		no.status, no.after = http.StatusServiceUnavailable, retryLater
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
 		no.status, no.reason = http.StatusGatewayTimeout, "the time allowed has passed"
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -28,7 +28,7 @@
 func (r result) String() string { return resultNames[r] }
 
 // logPlaced logs the choice of an engine with what decided it.
-func (x *exchange) logPlaced(c placing.Choice, w World) {
+func (x *exchange) logPlaced(c placing.Choice) {
 	what := "placed"
 	switch {
 	case x.stream != nil:
@@ -42,7 +42,7 @@
 	if line := x.Log.Check(zapcore.InfoLevel, what); line != nil {
 		line.Write(zap.String("request", string(x.id)), zap.Int("attempt", x.sends+1), zap.String("service", string(x.service)), zap.String("engine", string(c.Engine.ID)),
 			zap.Int("load", c.Load), zap.Float64("mean", c.Mean), zap.Int("cached", c.Cached), zap.Int("fetched", c.Fetched), zap.Int("reading", c.Reading),
-			zap.Float64("cost", c.Cost), zap.Int64("configuration", versionOf(w)), zap.Duration("configurationAgeMs", w.ProofAge))
+			zap.Float64("cost", c.Cost), zap.Int64("configuration", versionOf(x.world)), zap.Duration("configurationAgeMs", x.world.ProofAge))
 	}
 }
 
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -42,10 +42,6 @@
 		Status int
 		Header http.Header
 		Body   io.ReadCloser
-		// Length is the length of the body, or -1.
-		Length int64
-		// Framed says that the end of the body can be told from a broken connection.
-		Framed bool
 	}
 
 	// Client keeps connections to engines.
@@ -85,12 +81,10 @@
 	if err != nil {
 		stop()
 		_ = conn.Close()
-		return nil, &LostError{Cause: err, Stale: conn.served > 0}
+		return nil, &LostError{Cause: err}
 	}
-	conn.served++
 	b := &body{Reader: resp.Body, client: c, conn: conn, address: address, resp: resp, written: written, stop: stop}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 }
 
 // Refused reports whether an address refuses connections now; one that does not answer within a moment does not.
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -40,8 +40,7 @@
 	// used is when the last answer ended.
 	used time.Time
 	// keep is how long the connection may be idle.
-	keep   time.Duration
-	served int
+	keep time.Duration
 
 	closeOnce sync.Once
 }
--- a/connection/upstream/errors.go
+++ b/connection/upstream/errors.go
@@ -7,11 +7,7 @@
 	NotSentError struct{ Cause error }
 
 	// LostError says that the request was sent and that its answer did not come, or not whole; it may have run.
-	LostError struct {
-		Cause error
-		// Stale says that a kept connection had been closed by the engine before anything was answered.
-		Stale bool
-	}
+	LostError struct{ Cause error }
 )
 
 // Error names the cause.
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/entry"
@@ -30,6 +31,8 @@
 	oneKey     = "key-one"
 	otherKey   = "key-two"
 	configKey  = "configuration"
+	// brokenValue is what another writer left in an entry.
+	brokenValue = "{"
 	// firstNet and firstPort give every instance loopback addresses of its own, with the same ports as on the platform.
 	firstNet  = 100
 	firstPort = 7001
@@ -77,11 +80,14 @@
 		Name: "r", Host: "h.example", PathPrefix: c.Path, Kind: routing.Unrepeatable, Timeout: 5 * time.Second, MaxEngines: 1, CachesPrompts: true,
 		Backends: []routing.Backend{{Service: "s", Weight: 1}},
 	}
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route}, nil, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route}, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
-	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: string(value), Slots: 10}, nil
+	if string(value) == brokenValue {
+		return engines.Engine{}, errors.New("broken")
+	}
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: string(value)}, nil
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -119,7 +125,7 @@
 	var s entry.Settings
 	s.Instance.Name = fmt.Sprint("n", i)
 	s.Instance.FailureDomain = ident.Domain(fmt.Sprint("d", i%3))
-	for port, a := range []*tomlfile.Address{&s.Instance.Callers, &s.Instance.Ready, &s.Instance.Directory, &s.Instance.Peers} {
+	for port, a := range []*tomlfile.Address{&s.Instance.Callers, &s.Instance.Ready, &s.Instance.Directory, &s.Instance.Peers, &s.Instance.Metrics} {
 		*a = parseAddress(f.t, fmt.Sprintf("127.%d.%d.1:%d", firstNet+f.number, i+1, firstPort+port))
 	}
 	s.Bounds.KeyRevocation = tomlfile.NewDuration(revocation)
@@ -416,3 +422,50 @@
 		t.Fatalf("%.1f calls a second of 12 instances, %.1f of 3", large, small)
 	}
 }
+
+// TestEntriesThatCannotBeReadAreLeftOut: what another writer leaves in the store names no engine, and takes no configuration away.
+func TestEntriesThatCannotBeReadAreLeftOut(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.store.Put("engines/e0", []byte(brokenValue))
+	f.store.Put(configKey, []byte(brokenValue))
+	time.Sleep(time.Second)
+	for i := range f.nodes {
+		if got := f.ask(i, oneKey, "/p/x"); got != http.StatusOK {
+			t.Fatalf("instance %d answers %d", i, got)
+		}
+	}
+	f.store.Put("engines/e1", []byte(brokenValue))
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ask(i, oneKey, "/p/x") == http.StatusServiceUnavailable }, "instance %d still uses an engine without a readable entry", i)
+	}
+	f.configure(testConfiguration{Version: 3, Keys: []string{otherKey}, Path: "/p/"})
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ask(i, oneKey, "/p/x") == http.StatusUnauthorized }, "instance %d does not take the next configuration", i)
+	}
+}
+
+func TestMetricsAreServedAsTextAndAsExpvar(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	if got := f.ask(0, oneKey, "/p/x"); got != http.StatusOK {
+		t.Fatalf("answers %d", got)
+	}
+	tests := []struct{ path, want string }{
+		{"/metrics", "vanillaroute_answered_total 1\n"},
+		{"/metrics", "vanillaroute_configuration_version 1\n"},
+		{"/metrics", `vanillaroute_request_seconds_count{organisation="museum",class="r"} 1`},
+		{"/debug/vars", `"answered": 1`},
+	}
+	for _, tt := range tests {
+		resp, err := http.Get("http://" + f.nodes[0].settings.Instance.Metrics.String() + tt.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if !strings.Contains(string(body), tt.want) {
+			t.Errorf("%s has no %q: %s", tt.path, tt.want, body)
+		}
+	}
+}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"go.uber.org/zap"
 )
 
@@ -46,7 +47,7 @@
 // sendHeartbeats sends heartbeats to some instances in each round.
 func (n *Instance) sendHeartbeats(ctx context.Context) error {
 	for _, seed := range n.settings.Load().Instance.Seeds {
-		n.knowSeed(seed.Addr().String())
+		n.knowSeed(seed.Addr())
 	}
 	alive := make(map[string]bool)
 	for pause.For(ctx, heartbeatPeriod) {
@@ -77,13 +78,17 @@
 }
 
 // knowSeed adds the instance at an IP number; all instances use the same port for peers.
-func (n *Instance) knowSeed(ip string) {
-	peer := joinPort(ip, n.settings.Load().Instance.Peers.Port())
-	if peer != n.self {
+func (n *Instance) knowSeed(ip netip.Addr) {
+	if peer := n.peerAt(ip); peer != n.self {
 		n.members.Known(peer, boottime.Now())
 	}
 }
 
+// peerAt returns the address for peers of the instance at an IP number.
+func (n *Instance) peerAt(ip netip.Addr) string {
+	return netip.AddrPortFrom(ip, n.settings.Load().Instance.Peers.Port()).String()
+}
+
 // announce tells as many instances as one round allows that this one's state or replica has changed; they ask for what they lack.
 func (n *Instance) announce(now boottime.Instant) {
 	last := boottime.Instant(n.announced.Load())
@@ -150,7 +155,7 @@
 	}
 	proven := b.Answer.Add(-b.ProofAge)
 	if b.Changed {
-		n.take(b, proven)
+		n.apply(mirror.Delta{Entries: b.Changes, Revision: b.Revision}, proven)
 	}
 	n.mirror.Prove(b.Revision, proven)
 }
@@ -215,12 +220,11 @@
 
 // rumours translates what a peer has heard into addresses at this fleet's port for peers.
 func (n *Instance) rumours(list []heartbeat.Rumour) []members.Rumour {
-	port := n.settings.Load().Instance.Peers.Port()
 	rumours := make([]members.Rumour, 0, len(list))
 	for _, r := range list {
 		var ip [4]byte
 		binary.BigEndian.PutUint32(ip[:], r.IP)
-		if peer := netip.AddrPortFrom(netip.AddrFrom4(ip), port).String(); peer != n.self {
+		if peer := n.peerAt(netip.AddrFrom4(ip)); peer != n.self {
 			rumours = append(rumours, members.Rumour{Peer: peer, Age: r.Age.Duration()})
 		}
 	}
@@ -230,10 +234,12 @@
 // send sends a heartbeat within the control budget; loads and holders are left out first.
 func (n *Instance) send(to string, b heartbeat.Message, kind budget.Kind) {
 	body := heartbeat.Encode(b)
-	core := b
-	core.Loads, core.Stated, core.Holders = nil, nil, nil
+	short := body
+	if len(b.Loads)+len(b.Stated)+len(b.Holders) > 0 {
+		b.Loads, b.Stated, b.Holders = nil, nil, nil
+		short = heartbeat.Encode(b)
+	}
 	now := time.Now()
-	short := heartbeat.Encode(core)
 	if !n.control.Spend(kind, len(short), now) {
 		return
 	}
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -115,9 +115,10 @@
 		// announced is when this instance last told others of a change.
 		announced atomic.Int64
 
-		world      atomic.Pointer[world]
-		worldMu    sync.Mutex
-		lastBroken map[string]ident.Revision
+		world   atomic.Pointer[world]
+		worldMu sync.Mutex
+		// decoded are the registered engines that can be read, by key; guarded by worldMu.
+		decoded map[string]engines.Engine
 	}
 
 	// ahead names an instance whose replica is ahead of this one's.
@@ -150,7 +151,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
 		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
-		client: upstream.New(), heartbeats: heartbeats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), lastBroken: make(map[string]ident.Revision),
+		client: upstream.New(), heartbeats: heartbeats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), decoded: make(map[string]engines.Engine),
 	}
 	n.settings.Store(&s)
 	n.world.Store(&world{engines: engines.NewList(nil)})
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,11 +153,6 @@
 	}
 }
 
-// take applies the changes that came with an answer.
-func (n *Instance) take(b heartbeat.Message, proven boottime.Instant) {
-	n.apply(mirror.Delta{Entries: b.Changes, Revision: b.Revision}, proven)
-}
-
 // register keeps this instance's peer address in the store, for instances that start later.
 func (n *Instance) register(ctx context.Context) error {
 	name := n.settings.Load().Instance.Name
@@ -182,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if *lease == "" {
-		id, err := n.platform.Store.Lend(ctx, n.platform.Keys.Instances+name, []byte(n.self), registrationLife)
+		id, err := n.platform.Store.Lend(ctx, n.platform.Keys.Instances+name, []byte(n.self), max(registrationLife, n.settings.Load().Store.MinLease.Std()))
 		*lease = id
 		return err
 	}
@@ -192,5 +185,3 @@
 	}
 	return err
 }
-
-func joinPort(ip string, port uint16) string { return net.JoinHostPort(ip, strconv.Itoa(int(port))) }
--- a/process/entry/world.go
+++ b/process/entry/world.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,29 +36,30 @@
 	if len(news) == 0 {
 		return false
 	}
-	configuration, engineList := false, false
+	next := *n.world.Load()
+	enginesChanged := false
 	for _, e := range news {
-		configuration = configuration || e.Key == n.platform.Keys.Configuration
-		engineList = engineList || strings.HasPrefix(e.Key, n.platform.Keys.Engines)
-		if strings.HasPrefix(e.Key, n.platform.Keys.Instances) && !e.Deleted && string(e.Value) != n.self {
+		switch {
+		case e.Key == n.platform.Keys.Configuration:
+			n.readConfiguration(&next, e)
+		case strings.HasPrefix(e.Key, n.platform.Keys.Engines):
+			n.readEngine(e)
+			enginesChanged = true
+		case strings.HasPrefix(e.Key, n.platform.Keys.Instances) && !e.Deleted && string(e.Value) != n.self:
 			n.members.Known(string(e.Value), boottime.Now())
 		}
 	}
-	next := *n.world.Load()
-	if configuration {
-		n.readConfiguration(&next)
-	}
-	if engineList {
-		n.readEngines(&next)
+	if enginesChanged {
+		next.engines = engines.NewList(slices.SortedFunc(maps.Values(n.decoded), func(a, b engines.Engine) int { return cmp.Compare(a.ID, b.ID) }))
+		n.log.Info("engines known", zap.Int("ready", next.engines.Ready()), zap.Int("all", len(n.decoded)))
 	}
 	n.world.Store(&next)
 	return true
 }
 
 // readConfiguration takes the configuration where it can be read and is newer than the one in force.
-func (n *Instance) readConfiguration(next *world) {
-	entry, ok := n.mirror.Get(n.platform.Keys.Configuration)
-	if !ok {
+func (n *Instance) readConfiguration(next *world, entry mirror.Entry) {
+	if entry.Deleted {
 		return
 	}
 	c, err := n.platform.Decoder.Configuration(entry.Value)
@@ -71,27 +75,22 @@
 	n.log.Info("configuration in force", zap.Int64("version", int64(c.Version)), zap.Int64("revision", int64(entry.Revision)))
 }
 
-// readEngines takes all entries of engines that can be read.
-func (n *Instance) readEngines(next *world) {
-	var list []engines.Engine
-	for _, entry := range n.mirror.List(n.platform.Keys.Engines) {
-		e, err := n.platform.Decoder.Engine(entry.Key, entry.Value)
-		if err != nil {
-			n.logBroken(entry, err)
-			continue
-		}
-		list = append(list, e)
+// readEngine takes a changed entry of an engine; one that cannot be read names none.
+func (n *Instance) readEngine(entry mirror.Entry) {
+	delete(n.decoded, entry.Key)
+	if entry.Deleted {
+		return
 	}
-	next.engines = engines.NewList(list)
-	n.log.Info("engines known", zap.Int("ready", next.engines.Ready()), zap.Int("all", len(list)))
+	e, err := n.platform.Decoder.Engine(entry.Key, entry.Value)
+	if err != nil {
+		n.logBroken(entry, err)
+		return
+	}
+	n.decoded[entry.Key] = e
 }
 
-// logBroken logs an entry that cannot be read, once for each of its revisions.
+// logBroken logs an entry that cannot be read; each of its revisions comes once.
 func (n *Instance) logBroken(entry mirror.Entry, err error) {
-	if n.lastBroken[entry.Key] == entry.Revision {
-		return
-	}
-	n.lastBroken[entry.Key] = entry.Revision
 	n.log.Warn("an entry of the store cannot be read", zap.String("key", entry.Key), zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
 }
 
--- a/process/logs/bounded.go
+++ b/process/logs/bounded.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/boottime"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -36,12 +36,11 @@
 
 	// Bounded writes log lines without ever waiting for their reader; what does not fit is left out and counted.
 	Bounded struct {
-		out    io.Writer
-		lines  chan []byte
-		budget Budget
-		mu     sync.Mutex
-		saved  Budget
-		at     boottime.Instant
+		out   io.Writer
+		lines chan []byte
+		// mu keeps the two limiters in step.
+		mu                   sync.Mutex
+		lineLimit, byteLimit *rate.Limiter
 		// waiting counts lines that are not written yet.
 		waiting atomic.Int64
 		// Left out are lines about requests that went well, other lines, and lines that nobody read in time.
@@ -62,7 +61,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "log level")
 	}
-	b := &Bounded{out: out, lines: make(chan []byte, queued), budget: budget, saved: budget.times(burstSeconds), at: boottime.Now()}
+	b := &Bounded{out: out, lines: make(chan []byte, queued), lineLimit: limiter(budget.Lines), byteLimit: limiter(budget.Bytes)}
 	go b.write()
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeDuration = zapcore.MillisDurationEncoder
@@ -70,6 +69,10 @@
 	return zap.New(core).With(zap.String("instance", instance)), b, nil
 }
 
+func limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond*burstSeconds))
+}
+
 // LeftOut returns how many lines were left out since the last call: about requests that went well, others, and unread ones.
 func (b *Bounded) LeftOut() (sampled, refused, unread int64) {
 	return b.sampled.Swap(0), b.refused.Swap(0), b.unread.Swap(0)
@@ -114,28 +117,25 @@
 	}
 }
 
-// allow reports whether a line is within the budget.
-func (b *Bounded) allow(bytes int, wentWell bool, now boottime.Instant) bool {
+// allow reports whether a line is within the budget, and counts it.
+func (b *Bounded) allow(bytes int, wentWell bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	passed := max(now.Sub(b.at).Seconds(), 0)
-	b.at = now
-	b.saved.Lines = min(b.saved.Lines+passed*b.budget.Lines, b.budget.Lines*burstSeconds)
-	b.saved.Bytes = min(b.saved.Bytes+passed*b.budget.Bytes, b.budget.Bytes*burstSeconds)
-	reserve := Budget{}
+	reserve := 0.0
 	if wentWell {
-		reserve = b.budget.times(burstSeconds * successReserve)
+		reserve = successReserve
 	}
-	if b.saved.Lines-1 < reserve.Lines || b.saved.Bytes-float64(bytes) < reserve.Bytes {
-		return false
+	for _, l := range []struct {
+		limiter *rate.Limiter
+		needs   int
+	}{{b.lineLimit, 1}, {b.byteLimit, bytes}} {
+		if l.limiter.TokensAt(now)-float64(l.needs) < reserve*float64(l.limiter.Burst()) {
+			return false
+		}
 	}
-	b.saved.Lines--
-	b.saved.Bytes -= float64(bytes)
-	return true
+	return b.lineLimit.AllowN(now, 1) && b.byteLimit.AllowN(now, bytes)
 }
 
-func (b Budget) times(x float64) Budget { return Budget{Lines: b.Lines * x, Bytes: b.Bytes * x} }
-
 // With returns a core that adds fields to each line.
 func (c *boundedCore) With(fields []zapcore.Field) zapcore.Core {
 	clone := &boundedCore{LevelEnabler: c.LevelEnabler, encoder: c.encoder.Clone(), sink: c.sink}
@@ -161,7 +161,7 @@
 	}
 	defer buffer.Free()
 	wentWell := e.LoggerName == RequestLogger && e.Level <= zapcore.InfoLevel
-	if !c.sink.allow(buffer.Len(), wentWell, boottime.Now()) {
+	if !c.sink.allow(buffer.Len(), wentWell, time.Now()) {
 		if wentWell {
 			c.sink.sampled.Add(1)
 		} else {
--- a/process/logs/story.go
+++ b/process/logs/story.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -89,6 +91,16 @@
 	return nil
 }
 
+// ReadFile adds the lines of a file as Read does.
+func (s *Story) ReadFile(name string) error {
+	f, err := os.Open(filepath.Clean(name))
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = f.Close() }()
+	return s.Read(name, f)
+}
+
 // Lines returns the decisions in order; it fails with *UnknownRequestError where there are none.
 func (s *Story) Lines() ([]Line, error) {
 	if len(s.lines) == 0 {
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -1,12 +1,11 @@
 package readers
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/rank"
 )
 
 const (
@@ -20,6 +19,9 @@
 	helpMargin = 600 * time.Millisecond
 	// helpEvery is the mean pause between two reads of all helping instances together.
 	helpEvery = 400 * time.Millisecond
+
+	// rankKey is the key by which instances are ranked as readers.
+	rankKey = "readers"
 )
 
 type (
@@ -46,16 +48,21 @@
 
 // Chosen reports whether an instance is one of the readers: the first of the instances by a hash, each of a failure domain of its own while there are enough.
 func Chosen(self string, all []Instance) bool {
-	order := ranked(all)
+	candidates := make([]rank.Member, len(all))
+	for i, c := range all {
+		candidates[i] = rank.Member{Name: c.Peer, Weight: 1}
+	}
+	order := rank.Order(rankKey, candidates, len(candidates))
 	taken := make(map[ident.Domain]bool)
 	var chosen []string
 	for _, pass := range []bool{true, false} {
 		for _, i := range order {
-			if len(chosen) >= Count || (pass && taken[i.Domain]) || slices.Contains(chosen, i.Peer) {
+			c := all[i]
+			if len(chosen) >= Count || (pass && taken[c.Domain]) || slices.Contains(chosen, c.Peer) {
 				continue
 			}
-			taken[i.Domain] = true
-			chosen = append(chosen, i.Peer)
+			taken[c.Domain] = true
+			chosen = append(chosen, c.Peer)
 		}
 	}
 	return slices.Contains(chosen, self)
@@ -65,11 +72,3 @@
 func (s Schedule) Helps(proofAge, step time.Duration, instances int, draw float64) bool {
 	return proofAge >= s.HelpAfter && draw < float64(step)/float64(helpEvery*time.Duration(max(instances, 1)))
 }
-
-func ranked(all []Instance) []Instance {
-	order := slices.Clone(all)
-	slices.SortFunc(order, func(a, b Instance) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Peer, b.Peer)) })
-	return order
-}
-
-func weight(i Instance) uint64 { return xxhash.Sum64String(i.Peer) }
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +43,18 @@
 	rateTokens = 1000
 )
 
+// Tiers of engines: one of a lower tier is chosen before all of a higher one.
+const (
+	withinBound tier = iota
+	overBound
+	// held engines could not be reached lately.
+	held
+	none
+)
+
 type (
+	tier int
+
 	// Request is what a choice is made for.
 	Request struct {
 		Service ident.Service
@@ -90,41 +102,41 @@
 	list := all.Of(r.Service)
 	loads, mean := t.loads(list, now)
 	known := t.longest(all, r.Parts, now)
-	cold := known.tokens < sharedTokens(r.Parts)
+	shared := sharedTokens(r.Parts)
 	limit := t.policy.LoadBound*mean + loadAllowance
 	// Other instances decide on the same figures, so each leaves a loaded engine with a chance that grows up to the limit.
 	limit -= rand.Float64() * max(limit-softBound*mean-softAllowance, 0)
 	best := Choice{Cost: math.Inf(1)}
-	class, others := math.MaxInt, 0
+	bestTier, others := none, 0
 	order := preferences(list, r.Parts)
 	for i, e := range list {
-		if contains(r.Tried, e.ID) {
+		if slices.Contains(r.Tried, e.ID) {
 			continue
 		}
 		s := t.state(e.Key)
 		c := t.cost(e, s, r, known, loads[i], now)
 		c.Mean = mean
-		if shared := sharedTokens(r.Parts); c.Cached < shared {
+		if c.Cached < shared {
 			c.Cost += rankTokens * float64(order[i])
 		}
-		rank := 0
+		tier := withinBound
 		if float64(loads[i]) > limit {
-			rank = 1
+			tier = overBound
 		}
 		if now.Before(s.heldUntil) {
-			rank = 2
+			tier = held
 		} else {
 			others++
 		}
-		if rank < class || (rank == class && c.Cost < best.Cost) {
-			best, class = c, rank
+		if tier < bestTier || (tier == bestTier && c.Cost < best.Cost) {
+			best, bestTier = c, tier
 		}
 	}
-	if class == math.MaxInt {
+	if bestTier == none {
 		return Choice{}, nil, false
 	}
 	best.Others = max(others-1, 0)
-	if cold {
+	if known.tokens < shared {
 		best.guess(list, order)
 	}
 	return best, t.begin(best, r, now), true
@@ -217,7 +229,7 @@
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
-func (t *Table) cost(e engines.Engine, s *state, r Request, known held, load int, now time.Time) Choice {
+func (t *Table) cost(e engines.Engine, s *state, r Request, known copyOf, load int, now time.Time) Choice {
 	c := Choice{Engine: e, Load: load}
 	slow := 1.0
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < slownessLife {
@@ -242,25 +254,25 @@
 	return c
 }
 
-// held is an engine with how many tokens of a prompt it holds.
-type held struct {
+// copyOf is an engine with how many tokens of a prompt it holds.
+type copyOf struct {
 	engine engines.Key
 	tokens int
 }
 
 // longest returns the engine that is known to hold the most of a prompt, the latest one of equals.
-func (t *Table) longest(all *engines.List, parts []Part, now time.Time) held {
+func (t *Table) longest(all *engines.List, parts []Part, now time.Time) copyOf {
 	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
 		holders, _ := t.parts.Peek(parts[i].ID)
 		for _, h := range holders {
 			if _, ok := all.Get(h.Engine); ok && now.Sub(h.At) < holderLife {
-				return held{engine: h.Engine, tokens: sum}
+				return copyOf{engine: h.Engine, tokens: sum}
 			}
 		}
 		sum -= parts[i].Tokens
 	}
-	return held{}
+	return copyOf{}
 }
 
 // cached returns how many tokens at the beginning of the prompt the engine is taken to hold; one that holds a part holds those before it.
@@ -305,12 +317,3 @@
 	}
 	return n
 }
-
-func contains[T comparable](list []T, v T) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
--- a/request/placing/placing_test.go
+++ b/request/placing/placing_test.go
@@ -19,7 +19,7 @@
 func list(service ident.Service, count int) []engines.Engine {
 	var all []engines.Engine
 	for i := range count {
-		all = append(all, engines.Engine{ID: ident.Engine(fmt.Sprintf("%s-%d", service, i)), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", i%3)), Slots: 96})
+		all = append(all, engines.Engine{ID: ident.Engine(fmt.Sprintf("%s-%d", service, i)), Service: service, Domain: ident.Domain(fmt.Sprintf("d%d", i%3))})
 	}
 	return all
 }
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -55,7 +55,7 @@
 
 	// Report is what an engine says of its load.
 	Report struct {
-		Running, Waiting, Slots int
+		Running, Waiting int
 		// Slowness is how long work takes at this moment, 1 being as usual, or 0 where it is not told.
 		Slowness float64
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -333,9 +331,8 @@
 	e := &BrokenError{Promise: promise, Request: c.id, Detail: fmt.Sprintf("%s at %s, sent %s: %s", c.path, c.instance, c.sent.Format(time.StampMilli), detail), Seed: r.Seed}
 	story := logs.NewStory(string(c.id))
 	for _, n := range r.instances {
-		if f, err := os.Open(filepath.Clean(n.log)); err == nil {
-			_ = story.Read(n.log, f)
-			_ = f.Close()
+		if err := story.ReadFile(n.log); err != nil {
+			e.Story = append(e.Story, err.Error())
 		}
 	}
 	if lines, err := story.Lines(); err == nil {
--- a/version/engines/engines.go
+++ b/version/engines/engines.go
@@ -17,8 +17,6 @@
 		Service ident.Service
 		Address string
 		Domain  ident.Domain
-		// Slots is how many requests the engine processes at once.
-		Slots int
 		// Draining engines take no new requests.
 		Draining bool
 		// Born tells one start of the engine from the next, in milliseconds since the epoch, or 0 where it is not known.
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -46,7 +45,6 @@
 		Target time.Duration
 		// TargetGap is the longest pause between events of a stream that is on time.
 		TargetGap time.Duration
-		Priority  int
 		Backends  []Backend
 		// MaxEngines is how many engines may run one request.
 		MaxEngines int
@@ -65,45 +63,31 @@
 
 	// Limits bound what a caller may send; zero means no bound.
 	Limits struct {
-		MaxHeaderBytes int
-		MaxBodyBytes   int64
-		IdleTimeout    time.Duration
+		MaxBodyBytes int64
+		IdleTimeout  time.Duration
 	}
 
 	// Configuration is one version, unchangeable once built.
 	Configuration struct {
-		Version  Version
-		Limits   Limits
-		Services map[ident.Service]Service
-		byHost   map[string][]Route
-		owners   map[[sha256.Size]byte]ident.Organisation
-	}
-
-	// Service is a group of engines that serve the same requests.
-	Service struct {
-		Name ident.Service
-		// MaxConns is how many connections one engine accepts from all callers together.
-		MaxConns int
-		// Slots is how many requests an engine processes at once, or 0 where the configuration doesn't say.
-		Slots int
+		Version Version
+		Limits  Limits
+		byHost  map[string][]Route
+		owners  map[[sha256.Size]byte]ident.Organisation
 	}
 )
 
-// New returns a configuration of routes, services and organisations.
-func New(v Version, limits Limits, routes []Route, services []Service, organisations []Organisation) *Configuration {
+// New returns a configuration of routes and organisations.
+func New(v Version, limits Limits, routes []Route, organisations []Organisation) *Configuration {
 	c := &Configuration{
-		Version: v, Limits: limits, Services: make(map[ident.Service]Service, len(services)),
+		Version: v, Limits: limits,
 		byHost: make(map[string][]Route), owners: make(map[[sha256.Size]byte]ident.Organisation),
 	}
-	for _, s := range services {
-		c.Services[s.Name] = s
-	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
 	for _, list := range c.byHost {
-		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
+		slices.SortStableFunc(list, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
 	for _, o := range organisations {
 		for _, key := range o.Keys {
