fix(fleet): a new engine of a list without failure domains gets a home

Cause: the home of an engine was kept from the last picture where its failure domain was the same; an engine that was not there before counted as one of domain "", whose home is "". Found while writing a test that lists an engine late. Before: TestEngineWithoutAFailureDomainHasAHome has home ""; after: router-1.

--- a/version/fleet/fleet_test.go
+++ b/version/fleet/fleet_test.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// TestEngineWithoutAFailureDomainHasAHome lists an engine late, in a fleet whose list names no failure domains.
+func TestEngineWithoutAFailureDomainHasAHome(t *testing.T) {
+	self := fleet.Instance{ID: "router-1", Role: fleet.RoleRouter}
+	f := fleet.New(self, 1, start)
+	f.ApplyList([]fleet.Instance{self, {ID: "engine-1", Role: fleet.RoleEngine}}, start)
+	if home := f.View().HomeOf("engine-1"); home != "router-1" {
+		t.Errorf("the home is %q", home)
+	}
+}
+
 func TestSuspicionEndsInDeathUnlessRefuted(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/version/fleet/view.go
+++ b/version/fleet/view.go
@@ -105,9 +105,11 @@
 // chooseHome gives an engine the home that it had, or the best router of its failure domain, or of all where that has none.
 func (v *View) chooseHome(e Instance, last *View, kept bool) {
 	id := ident.Engine(e.ID)
-	if kept && last.engines[id].FailureDomain == e.FailureDomain {
-		v.homes[id] = last.homes[id]
-		return
+	if kept {
+		if before, known := last.engines[id]; known && before.FailureDomain == e.FailureDomain {
+			v.homes[id] = last.homes[id]
+			return
+		}
 	}
 	near := v.domains[e.FailureDomain]
 	if len(near) == 0 {
