fix(home): a crash is told once, and copies wait until it is known

A copy of the body that came meanwhile was handed to the engine again once it had restarted, or found it down and went on to a third engine; and whoever ran on the restarted engine when the last lost request learnt of the crash was blamed for it too. Ruled out: the order of checks in unfit (a suspect counts before a down engine, but is no suspect yet in that time). Change: an attempt whose connection broke is marked; copies of its body are held until it is explained; all that ran at a crash is blamed by the first that learns of it and by no later one; the first resume comes at once, not after 50 ms. Before: TestCopyWaitsWhileACrashIsUnsure hands the copy over, TestLateWordOfACrashBlamesNobodyNew blames the later one; after: both pass.

--- a/process/home/admission.go
+++ b/process/home/admission.go
@@ -144,7 +144,7 @@
 	if e.leaving || e.instance.State == fleet.StateLeaving {
 		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeLeaving, "engine %s is leaving", e.id)
 	}
-	if e.set.fleet.IsDown(e.id, now) {
+	if e.set.fleet.IsDown(e.id, now) && !e.unexplained(r.Fingerprint, now) {
 		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s is down", e.id)
 	}
 	return nil
--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/run"
 )
 
@@ -50,14 +51,17 @@
 		e.set.point("event", r.Submit.Request)
 	}
 	err := e.first(ctx, r, event)
-	for range resumeTries {
+	for try := range resumeTries {
 		var cut *engine.CutError
-		if !r.Submit.Stream || !errors.As(err, &cut) || ctx.Err() != nil {
+		if !errors.As(err, &cut) || ctx.Err() != nil {
 			break
 		}
-		select {
-		case <-time.After(resumeSpacing):
-		case <-ctx.Done():
+		e.noteCut(r)
+		if !r.Submit.Stream {
+			break
+		}
+		if try > 0 {
+			pause.For(ctx, resumeSpacing)
 		}
 		err = asLost(e.client.Resume(ctx, r.Submit.Request, r.Next(), event))
 	}
@@ -127,6 +131,10 @@
 	if !ok {
 		return
 	}
+	if a.cut {
+		a.cut = false
+		e.dispatch(now)
+	}
 	first := a.last.Equal(a.started)
 	gap := now.Sub(a.last)
 	a.last = now
@@ -136,6 +144,15 @@
 	e.gapNanos.Store(int64(smooth(time.Duration(e.gapNanos.Load()), gap)))
 }
 
+// noteCut notes that the answer broke off, which may be since the engine crashed.
+func (e *Engine) noteCut(r *run.Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a, ok := e.active[r]; ok {
+		a.cut = true
+	}
+}
+
 // classify turns the error of an attempt into what the entry is told.
 func (e *Engine) classify(r *run.Run, err error, now time.Time) wire.End {
 	if err == nil {
@@ -170,11 +187,15 @@
 	}
 }
 
-// crashed makes suspects of all that ran on an engine that is gone, or has forgotten what it ran.
+// crashed makes suspects of all that ran on an engine that is gone, or has forgotten what it ran. Requests of one crash
+// learn of it one by one: only the first counts, since others may have come to the engine after it.
 func (e *Engine) crashed(r *run.Run, now time.Time) wire.End {
 	e.mu.Lock()
-	for other := range e.active {
-		e.set.suspects.Crashed(other.Fingerprint, e.id, now)
+	if own, ok := e.active[r]; ok && !own.blamed {
+		for other, a := range e.active {
+			a.blamed = true
+			e.set.suspects.Crashed(other.Fingerprint, e.id, now)
+		}
 	}
 	e.mu.Unlock()
 	e.set.fleet.EngineDown(e.id, now)
--- /dev/null
+++ b/process/home/crash_test.go
@@ -0,0 +1,182 @@
+package home
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/version/sums"
+)
+
+const (
+	testModel  ident.Model  = "m"
+	testEngine ident.Engine = "engine-1"
+	// testPatience bounds each wait of these tests.
+	testPatience = 10 * time.Second
+)
+
+// scriptedEngine is an engine whose answers a test cuts, and whose word on what it remembers a test holds back.
+type scriptedEngine struct {
+	server *httptest.Server
+	// begun counts the requests handed over, and tells their ids.
+	begun chan ident.Request
+	count atomic.Int64
+	// cut ends the answer of a request; forgotten answers one attempt to resume with "no such stream".
+	cut       map[ident.Request]chan struct{}
+	asked     chan ident.Request
+	forgotten chan struct{}
+}
+
+func newScriptedEngine(t *testing.T, ids ...ident.Request) *scriptedEngine {
+	t.Helper()
+	s := &scriptedEngine{begun: make(chan ident.Request, 16), cut: make(map[ident.Request]chan struct{}), asked: make(chan ident.Request, 16), forgotten: make(chan struct{})}
+	for _, id := range ids {
+		s.cut[id] = make(chan struct{})
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := ident.Request(r.Header.Get(engine.HeaderRequest))
+		s.count.Add(1)
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		s.begun <- id
+		select {
+		case <-s.cut[id]:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	})
+	mux.HandleFunc("GET /v1/streams/{id}", func(w http.ResponseWriter, r *http.Request) {
+		s.asked <- ident.Request(r.PathValue("id"))
+		select {
+		case <-s.forgotten:
+		case <-r.Context().Done():
+		}
+		http.Error(w, "no such stream", http.StatusNotFound)
+	})
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"slots":8}`) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	s.server = httptest.NewServer(mux)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// newTestSet returns the homes of a router that is alone with one engine.
+func newTestSet(t *testing.T, address string) *Set {
+	t.Helper()
+	now := time.Now()
+	self := fleet.Instance{ID: "router-1", Role: fleet.RoleRouter, Address: "127.0.0.1:1"}
+	f := fleet.New(self, 1, now)
+	listed := fleet.Instance{ID: string(testEngine), Role: fleet.RoleEngine, Address: address, Models: []ident.Model{testModel}, Slots: 8}
+	f.ApplyList([]fleet.Instance{self, listed}, now)
+	policy := settings.Routing{
+		LoadBound: 8, QueueLimit: 16, LongShare: 1, FirstTokenTimeout: tomlfile.NewDuration(testPatience), StallTimeout: tomlfile.NewDuration(testPatience),
+		CacheWait: tomlfile.NewDuration(testPatience), Classes: []settings.Class{{Name: "note", MaxWait: tomlfile.NewDuration(testPatience)}},
+	}
+	set := NewSet(t.Context(), Parts{Self: "router-1", Policy: policy, Fleet: f, Sums: sums.New(), Suspects: suspects.New(), Metrics: metrics.New(), Point: func(string, ident.Request) {}})
+	set.Update(f.View(), now)
+	for deadline := now.Add(testPatience); ; time.Sleep(time.Millisecond) {
+		e, refusal := set.home(testEngine)
+		if refusal != nil {
+			t.Fatal(refusal.Message)
+		}
+		e.mu.Lock()
+		settled := e.settled
+		e.mu.Unlock()
+		if settled {
+			return set
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the engine has not reported")
+		}
+	}
+}
+
+func submit(t *testing.T, s *Set, id ident.Request, body string) *run.Run {
+	t.Helper()
+	r, refusal := s.Submit(wire.Submit{Request: id, Organisation: "museum", Class: "note", Model: testModel, Engine: testEngine, Stream: true, Body: []byte(body)}, time.Now())
+	if refusal != nil {
+		t.Fatalf("%s is refused: %s", id, refusal.Message)
+	}
+	return r
+}
+
+func refusalOfRun(t *testing.T, r *run.Run) *wire.Refusal {
+	t.Helper()
+	events, end, err := r.Wait(t.Context(), 0, 1)
+	if err != nil || end == nil || end.Refusal == nil {
+		t.Fatalf("%s ended with %v, %v, %v", r.Submit.Request, events, end, err)
+	}
+	return end.Refusal
+}
+
+func await[T comparable](t *testing.T, c <-chan T, want T) {
+	t.Helper()
+	select {
+	case got := <-c:
+		if got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	case <-time.After(testPatience):
+		t.Fatalf("no %v", want)
+	}
+}
+
+// TestCopyWaitsWhileACrashIsUnsure sends a copy of a body whose answer was cut, before it is known that the engine crashed.
+func TestCopyWaitsWhileACrashIsUnsure(t *testing.T) {
+	e := newScriptedEngine(t, "first", "copy", "other")
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	first := submit(t, s, "first", "poison")
+	await(t, e.begun, "first")
+	close(e.cut["first"])
+	await(t, e.asked, "first")
+	copied := submit(t, s, "copy", "poison")
+	submit(t, s, "other", "ordinary")
+	await(t, e.begun, "other")
+	close(e.forgotten)
+	for _, r := range []*run.Run{first, copied} {
+		if refusal := refusalOfRun(t, r); len(refusal.Crashed) != 1 || refusal.Crashed[0] != testEngine {
+			t.Errorf("%s: %+v does not tell of the crash", r.Submit.Request, *refusal)
+		}
+	}
+	if n := e.count.Load(); n != 2 {
+		t.Errorf("%d requests were handed to the engine, want the first and the other one", n)
+	}
+}
+
+// TestLateWordOfACrashBlamesNobodyNew has two requests lose their engine in one crash, of which the second learns late.
+func TestLateWordOfACrashBlamesNobodyNew(t *testing.T) {
+	e := newScriptedEngine(t, "first", "second", "later")
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	first, second := submit(t, s, "first", "one"), submit(t, s, "second", "two")
+	<-e.begun
+	<-e.begun
+	close(e.forgotten)
+	close(e.cut["first"])
+	_ = refusalOfRun(t, first)
+	s.fleet.EngineUp(testEngine)
+	later := submit(t, s, "later", "three")
+	await(t, e.begun, "later")
+	close(e.cut["second"])
+	_ = refusalOfRun(t, second)
+	if blamed := s.suspects.Engines(first.Fingerprint); len(blamed) != 1 {
+		t.Errorf("the first is blamed for %v", blamed)
+	}
+	if blamed := s.suspects.Engines(later.Fingerprint); len(blamed) != 0 {
+		t.Errorf("a request that came after the crash is blamed for %v", blamed)
+	}
+}
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -38,8 +38,10 @@
 		instance fleet.Instance
 		queue    *queue.Queue[*run.Run]
 		active   map[*run.Run]*attempt
-		spilled  *spills
-		chats    *chats
+		// held are copies of requests whose answers were cut, until it is known whether the engine crashed.
+		held    []queue.Item[*run.Run]
+		spilled *spills
+		chats   *chats
 		// patient are the queued requests that wait for their cached prefix only so long.
 		patient   map[*run.Run]bool
 		lastTrial time.Time
@@ -60,6 +62,10 @@
 		long    bool
 		started time.Time
 		last    time.Time
+		// cut says that the connection ended early, and nothing came since.
+		cut bool
+		// blamed says that the request counts as one that crashed this engine already.
+		blamed bool
 	}
 )
 
@@ -81,6 +87,7 @@
 // dispatch starts requests while slots are free for them.
 func (e *Engine) dispatch(now time.Time) {
 	defer e.count()
+	e.requeue(now)
 	for _, late := range e.queue.Expire(now) {
 		e.drop(late.Value, e.lateRefusal(late.Value), now)
 	}
@@ -92,6 +99,10 @@
 		if !ok {
 			return
 		}
+		if e.unexplained(item.Value.Fingerprint, now) {
+			e.held = append(e.held, item)
+			continue
+		}
 		if refusal := e.unfit(item.Value, now); refusal != nil {
 			e.drop(item.Value, refusal, now)
 			continue
@@ -104,6 +115,27 @@
 	}
 }
 
+// requeue lets the held copies take part again, since more may be known of the engine; they have their old deadlines.
+func (e *Engine) requeue(now time.Time) {
+	held := e.held
+	e.held = nil
+	for _, item := range held {
+		if !e.queue.Push(item, now) {
+			e.drop(item.Value, e.overloaded(0), now)
+		}
+	}
+}
+
+// unexplained reports whether a copy of the body has lost its answer, or its engine, and it is not known yet why.
+func (e *Engine) unexplained(fingerprint uint64, now time.Time) bool {
+	for r, a := range e.active {
+		if r.Fingerprint == fingerprint && (a.cut || e.set.fleet.IsDown(e.id, now)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Engine) drop(r *run.Run, refusal *wire.Refusal, now time.Time) {
 	delete(e.patient, r)
 	r.Finish(wire.End{Refusal: refusal}, now)
@@ -151,7 +183,7 @@
 }
 
 // load counts all that this home has assigned to the engine.
-func (e *Engine) load() int { return len(e.active) + e.queue.Len() }
+func (e *Engine) load() int { return len(e.active) + e.queue.Len() + len(e.held) }
 
 // bound returns the largest bound of a kind over the engine's models.
 func (e *Engine) bound(now time.Time, kind func(t sums.Total, loadBound, weight float64) int) int {
@@ -220,6 +252,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer e.count()
+	e.requeue(now)
 	waiting := e.queue.Remove(func(*run.Run) bool { return true })
 	for _, item := range waiting {
 		e.drop(item.Value, wire.Refuse(http.StatusServiceUnavailable, wire.CodeNotHome, "engine %s has another home", e.id), now)
