perf(logs): one line for a request that went well at once, nothing made for a line left out

Change: the placement of a whole answer is told in its answered line, or by a placed line of its own, with the time of the choice, as soon as anything goes wrong; lines about requests in trouble are left out last, so that the story of a failure is whole; the budget is asked before a line is made; fields are written straight into the line. TestStoryOfARequest and TestStoryOfAFailureIsWhole are new.

--- a/connection/forward/bench_test.go
+++ b/connection/forward/bench_test.go
@@ -3,14 +3,17 @@
 import (
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
 )
 
-// BenchmarkRequest measures a request through the handler to an engine on loopback, with and without logs.
+// BenchmarkRequest measures a request through the handler to an engine on loopback, with and without logs, in processor time too.
 func BenchmarkRequest(b *testing.B) {
 	tests := []struct {
 		name string
@@ -35,14 +38,62 @@
 	for _, tt := range tests {
 		b.Run(tt.name, func(b *testing.B) {
 			f := newFixture(b, routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") })
-			f.handler.Log = tt.log().Named(logs.RequestLogger)
+			f.logTo(tt.log())
 			b.ReportAllocs()
 			b.ResetTimer()
+			before := processorTime(b)
 			for range b.N {
 				if _, _, err := f.send(b, nil); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
+
+// BenchmarkLines measures what logs add to a request that goes well at once: its placement and its end.
+func BenchmarkLines(b *testing.B) {
+	tests := []struct {
+		name   string
+		budget logs.Budget
+	}{
+		{"within their budget", logs.Budget{Lines: 1e9, Bytes: 1e12}},
+		{"over their budget", logs.Budget{Lines: logs.DefaultLines, Bytes: logs.DefaultBytes}},
+	}
+	for _, tt := range tests {
+		b.Run(tt.name, func(b *testing.B) {
+			log, _, err := logs.NewBounded(io.Discard, "info", "n1", tt.budget)
+			if err != nil {
+				b.Fatal(err)
+			}
+			f := newFixture(b, routing.Route{Kind: routing.Unrepeatable}, nil)
+			world := f.handler.World()
+			e := world.Engines.All()[0]
+			measure := func(log *zap.Logger) time.Duration {
+				f.logTo(log)
+				before := processorTime(b)
+				for range b.N {
+					x := exchange{Handler: f.handler, id: "0123456789abcdef", org: "museum", route: &routing.Route{Name: "notes"}, world: world, arrived: time.Now()}
+					x.place(placing.Choice{Engine: e, Load: 3, Mean: 2.5, Cached: 1134, Reading: 99, Cost: 1.25}, x.arrived)
+					x.log(outcomeAnswered, http.StatusOK)
+				}
+				return processorTime(b) - before
+			}
+			without := measure(zap.NewNop())
+			b.ReportAllocs()
+			b.ResetTimer()
+			b.ReportMetric(float64((measure(log)-without).Nanoseconds())/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// processorTime returns the processor time that the process has had.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -73,7 +73,8 @@
 		// sends counts all offers to engines, and runs those that an engine may have run.
 		sends, runs int
 		// kept is an engine's own failure, for the caller where nothing better comes.
-		kept *keptAnswer
+		kept      *keptAnswer
+		placement placement
 		// stream is the answer's state once its head went to the caller.
 		stream *stream
 		reason string
@@ -114,7 +115,7 @@
 			x.verdict = "no engine is left"
 			break
 		}
-		x.logPlaced(choice)
+		x.place(choice, now)
 		result := x.attempt(ctx, choice, work, now)
 		work.End()
 		if result == answered {
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -97,6 +97,13 @@
 	return f
 }
 
+// logTo has the handler log as New would with this logger.
+func (f *fixture) logTo(log *zap.Logger) {
+	parts := f.handler.Parts
+	parts.Log = log
+	*f.handler = *New(parts)
+}
+
 func (f *fixture) send(t testing.TB, change func(*http.Request)) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.front.URL+"/p/x%2Fy?q=1", strings.NewReader("body"))
@@ -561,7 +568,7 @@
 		t.Fatal(err)
 	}
 	f := newFixture(t, routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") })
-	f.handler.Log = log.Named(logs.RequestLogger)
+	f.logTo(log)
 	const requests = 1500
 	for range requests {
 		if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusOK {
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -81,13 +81,15 @@
 	Handler struct {
 		Parts
 		crashes *crashes
+		// troubled logs about requests that did not go well at once.
+		troubled *zap.Logger
 	}
 )
 
 // New returns a handler.
 func New(p Parts) *Handler {
 	p.Log = p.Log.Named(logs.RequestLogger)
-	return &Handler{Parts: p, crashes: newCrashes(p.Suspects)}
+	return &Handler{Parts: p, crashes: newCrashes(p.Suspects), troubled: p.Log.Named("troubled")}
 }
 
 // hopHeaders concern one connection only.
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -27,28 +28,90 @@
 // String returns the name that logs use.
 func (r result) String() string { return resultNames[r] }
 
-// logPlaced logs the choice of an engine with what decided it.
-func (x *exchange) logPlaced(c placing.Choice) {
-	what := "placed"
+// placement is the choice of an engine for an attempt.
+type placement struct {
+	what    string
+	attempt int
+	choice  placing.Choice
+	at      time.Time
+	// pending says that no line has told it yet.
+	pending bool
+}
+
+// logger returns the logger of a request: whatever is said of one that needs several engines is left out last.
+func (x *exchange) logger() *zap.Logger {
+	if len(x.tried) > 0 {
+		return x.troubled
+	}
+	return x.Log
+}
+
+// place notes the choice of an engine and logs it, but for the first choice for a whole answer: that is told with the request's end or first failure.
+func (x *exchange) place(c placing.Choice, now time.Time) {
+	x.placement = placement{what: "placed", attempt: x.sends + 1, choice: c, at: now, pending: true}
 	switch {
 	case x.stream != nil:
-		what = "resumed"
+		x.placement.what = "resumed"
 	case x.sends > 0:
-		what = "retried"
+		x.placement.what = "retried"
 	}
 	if x.sends > 0 {
-		x.Metrics.Add(what, 1)
+		x.Metrics.Add(x.placement.what, 1)
 	}
-	if line := x.Log.Check(zapcore.InfoLevel, what); line != nil {
-		line.Write(zap.String("request", string(x.id)), zap.Int("attempt", x.sends+1), zap.String("service", string(x.service)), zap.String("engine", string(c.Engine.ID)),
-			zap.Int("load", c.Load), zap.Float64("mean", c.Mean), zap.Int("cached", c.Cached), zap.Int("fetched", c.Fetched), zap.Int("reading", c.Reading),
-			zap.Float64("cost", c.Cost), zap.Int64("configuration", versionOf(x.world)), zap.Duration("configurationAgeMs", x.world.ProofAge))
+	if x.route.Kind == routing.Stream || len(x.tried) > 0 {
+		x.logPlaced(x.logger())
 	}
 }
 
+// logPlaced logs the choice of an engine with what decided it, once.
+func (x *exchange) logPlaced(log *zap.Logger) {
+	if !x.placement.pending {
+		return
+	}
+	x.placement.pending = false
+	if line := log.Check(zapcore.InfoLevel, x.placement.what); line != nil {
+		line.Time = x.placement.at
+		line.Write(zap.Inline(zapcore.ObjectMarshalerFunc(func(to zapcore.ObjectEncoder) error {
+			to.AddString("request", string(x.id))
+			to.AddInt("attempt", x.placement.attempt)
+			to.AddString("service", string(x.service))
+			x.addPlacement(to)
+			return nil
+		})))
+	}
+}
+
+// addPlacement adds what decided the choice of an engine.
+func (x *exchange) addPlacement(to zapcore.ObjectEncoder) {
+	c := x.placement.choice
+	to.AddString("engine", string(c.Engine.ID))
+	to.AddInt("load", c.Load)
+	to.AddFloat64("mean", c.Mean)
+	to.AddInt("cached", c.Cached)
+	to.AddInt("fetched", c.Fetched)
+	to.AddInt("reading", c.Reading)
+	to.AddFloat64("cost", c.Cost)
+	to.AddInt64("configuration", versionOf(x.world))
+	to.AddDuration("configurationAgeMs", x.world.ProofAge)
+}
+
+// addEnd adds how a request ended.
+func (x *exchange) addEnd(to zapcore.ObjectEncoder, status int, took time.Duration) {
+	to.AddString("request", string(x.id))
+	to.AddString("organisation", string(x.org))
+	to.AddString("route", x.route.Name)
+	to.AddInt("status", status)
+	to.AddInt("sends", x.sends)
+	to.AddInt("runs", x.runs)
+	to.AddDuration("tookMs", took)
+	to.AddString("reason", x.reason)
+	to.AddString("verdict", x.verdict)
+}
+
 // logFailed logs an attempt that brought no answer.
 func (x *exchange) logFailed(c placing.Choice, r result) {
 	x.Metrics.Add("attemptsFailed", 1)
+	x.logPlaced(x.troubled)
 	x.Log.Warn("attempt failed", zap.String("request", string(x.id)), zap.String("engine", string(c.Engine.ID)), zap.Stringer("result", r), zap.String("reason", x.reason))
 }
 
@@ -74,7 +137,7 @@
 	}
 }
 
-// log logs and counts the end of a request.
+// log logs and counts the end of a request; one that went well at once is told in this line alone.
 func (x *exchange) log(outcome string, status int) {
 	took := time.Since(x.arrived)
 	x.Metrics.Add(outcome, 1)
@@ -83,8 +146,17 @@
 	if outcome == outcomeCut || status >= http.StatusInternalServerError {
 		level = zapcore.WarnLevel
 	}
-	if line := x.Log.Check(level, outcome); line != nil {
-		line.Write(zap.String("request", string(x.id)), zap.String("organisation", string(x.org)), zap.String("route", x.route.Name), zap.Int("status", status),
-			zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.Duration("tookMs", took), zap.String("reason", x.reason), zap.String("verdict", x.verdict))
+	atOnce := x.placement.pending && level == zapcore.InfoLevel && outcome == outcomeAnswered
+	if !atOnce {
+		x.logPlaced(x.troubled)
+	}
+	if line := x.logger().Check(level, outcome); line != nil {
+		line.Write(zap.Inline(zapcore.ObjectMarshalerFunc(func(to zapcore.ObjectEncoder) error {
+			x.addEnd(to, status, took)
+			if atOnce {
+				x.addPlacement(to)
+			}
+			return nil
+		})))
 	}
 }
--- /dev/null
+++ b/connection/forward/report_test.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"bytes"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/routing"
+)
+
+// TestStoryOfARequest checks which lines tell a request, and that one line tells a request that went well at once.
+func TestStoryOfARequest(t *testing.T) {
+	repeatable := routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}
+	tests := []struct {
+		name    string
+		route   routing.Route
+		engine  fakeEngine
+		engines bool
+		want    []string
+	}{
+		{"answered at once", repeatable, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "ok") }, true, []string{"answered"}},
+		{"answered by the second engine", repeatable, func(run int, w http.ResponseWriter, _ *http.Request) {
+			if run == 1 {
+				reset()
+			}
+			good(w, "ok")
+		}, true, []string{"placed", "attempt failed", "retried", "answered"}},
+		{"lost", routing.Route{Kind: routing.Unrepeatable}, func(int, http.ResponseWriter, *http.Request) { reset() }, true, []string{"placed", "attempt failed", "refused"}},
+		{"failed at the engine", routing.Route{Kind: routing.Unrepeatable}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		}, true, []string{"placed", "attempt failed", "answered"}},
+		{"stream", routing.Route{Kind: routing.Stream}, func(_ int, w http.ResponseWriter, _ *http.Request) { good(w, "id: 1\ndata: x\n\n") }, true, []string{"placed", "answered"}},
+		{"no engine", repeatable, nil, false, []string{"refused"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out bytes.Buffer
+			log, sink, err := logs.NewBounded(&out, "info", "n1", logs.Budget{Lines: logs.DefaultLines, Bytes: logs.DefaultBytes})
+			if err != nil {
+				t.Fatal(err)
+			}
+			f := newFixture(t, tt.route, tt.engine)
+			f.logTo(log)
+			if !tt.engines {
+				world := f.handler.World()
+				world.Engines = engines.NewList(nil)
+				f.handler.World = func() World { return world }
+			}
+			if _, _, err := f.send(t, nil); err != nil {
+				t.Fatal(err)
+			}
+			f.front.Close()
+			sink.Close(time.Second)
+			story := logs.NewStory("r1")
+			if err := story.Read("log", bytes.NewReader(out.Bytes())); err != nil {
+				t.Fatal(err)
+			}
+			lines, err := story.Lines()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			for _, l := range lines {
+				got = append(got, l.Message)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Fatalf("the story is %q, want %q", got, tt.want)
+			}
+			if last := lines[len(lines)-1].String(lines[0].At); len(got) == 1 && tt.engines && (!strings.Contains(last, "engine=e") || !strings.Contains(last, "configuration=1")) {
+				t.Fatalf("the only line does not tell what decided: %s", last)
+			}
+		})
+	}
+}
+
+// TestStoryOfAFailureIsWhole has so many requests go well that lines about them are left out, and then one fail.
+func TestStoryOfAFailureIsWhole(t *testing.T) {
+	var out bytes.Buffer
+	log, sink, err := logs.NewBounded(&out, "info", "n1", logs.Budget{Lines: 20, Bytes: 20 * 512})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const crowd = 100
+	f := newFixture(t, routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}, func(run int, w http.ResponseWriter, _ *http.Request) {
+		if run > crowd {
+			reset()
+		}
+		good(w, "ok")
+	})
+	f.logTo(log)
+	for range crowd {
+		if _, _, err := f.send(t, func(r *http.Request) { r.Header.Set(testNames.RequestID, "well") }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := f.send(t, nil); err != nil {
+		t.Fatal(err)
+	}
+	f.front.Close()
+	sink.Close(time.Second)
+	if sampled, _, _ := sink.LeftOut(); sampled == 0 {
+		t.Fatal("nothing was left out, so nothing was shown")
+	}
+	for _, message := range []string{"placed", "attempt failed", "retried", "refused"} {
+		if n := strings.Count(out.String(), `"msg":"`+message+`"`); n == 0 {
+			t.Errorf("no line %q about the request that failed", message)
+		}
+	}
+}
--- a/process/logs/bounded.go
+++ b/process/logs/bounded.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/buffer"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 )
@@ -37,7 +38,7 @@
 	// Bounded writes log lines without ever waiting for their reader; what does not fit is left out and counted.
 	Bounded struct {
 		out   io.Writer
-		lines chan []byte
+		lines chan *buffer.Buffer
 		// mu keeps the two limiters in step.
 		mu                   sync.Mutex
 		lineLimit, byteLimit *rate.Limiter
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "log level")
 	}
-	b := &Bounded{out: out, lines: make(chan []byte, queued), lineLimit: limiter(budget.Lines), byteLimit: limiter(budget.Bytes)}
+	b := &Bounded{out: out, lines: make(chan *buffer.Buffer, queued), lineLimit: limiter(budget.Lines), byteLimit: limiter(budget.Bytes)}
 	go b.write()
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeDuration = zapcore.MillisDurationEncoder
@@ -108,31 +109,39 @@
 	}
 }
 
+func (b *Bounded) leftOut(wentWell bool) {
+	if wentWell {
+		b.sampled.Add(1)
+	} else {
+		b.refused.Add(1)
+	}
+}
+
 func (b *Bounded) write() {
 	for line := range b.lines {
-		if _, err := b.out.Write(line); err != nil {
+		if _, err := b.out.Write(line.Bytes()); err != nil {
 			b.unread.Add(1)
 		}
+		line.Free()
 		b.waiting.Add(-1)
 	}
 }
 
-// allow reports whether a line is within the budget, and counts it.
-func (b *Bounded) allow(bytes int, wentWell bool, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// room reports whether the budget has room for a line, before the line is made.
+func (b *Bounded) room(wentWell bool, now time.Time) bool {
 	reserve := 0.0
 	if wentWell {
 		reserve = successReserve
 	}
-	for _, l := range []struct {
-		limiter *rate.Limiter
-		needs   int
-	}{{b.lineLimit, 1}, {b.byteLimit, bytes}} {
-		if l.limiter.TokensAt(now)-float64(l.needs) < reserve*float64(l.limiter.Burst()) {
-			return false
-		}
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lineLimit.TokensAt(now)-1 >= reserve*float64(b.lineLimit.Burst()) && b.byteLimit.TokensAt(now) > reserve*float64(b.byteLimit.Burst())
+}
+
+// take takes a line from the budget, and reports whether it was within.
+func (b *Bounded) take(bytes int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.lineLimit.AllowN(now, 1) && b.byteLimit.AllowN(now, bytes)
 }
 
@@ -145,34 +154,39 @@
 	return clone
 }
 
-// Check adds the core where the level is logged.
+// Check adds the core where the level is logged and the budget has room, so that a line left out costs next to nothing.
 func (c *boundedCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if c.Enabled(e.Level) {
-		return checked.AddCore(e, c)
+	if !c.Enabled(e.Level) {
+		return checked
 	}
-	return checked
+	if !c.sink.room(wentWell(e), time.Now()) {
+		c.sink.leftOut(wentWell(e))
+		return checked
+	}
+	return checked.AddCore(e, c)
+}
+
+// wentWell reports whether a line is about a request that went well.
+func wentWell(e zapcore.Entry) bool {
+	return e.LoggerName == RequestLogger && e.Level <= zapcore.InfoLevel
 }
 
 // Write encodes a line and queues it, or leaves it out.
 func (c *boundedCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	buffer, err := c.encoder.EncodeEntry(e, fields)
+	line, err := c.encoder.EncodeEntry(e, fields)
 	if err != nil {
 		return err
 	}
-	defer buffer.Free()
-	wentWell := e.LoggerName == RequestLogger && e.Level <= zapcore.InfoLevel
-	if !c.sink.allow(buffer.Len(), wentWell, time.Now()) {
-		if wentWell {
-			c.sink.sampled.Add(1)
-		} else {
-			c.sink.refused.Add(1)
-		}
+	if !c.sink.take(line.Len(), time.Now()) {
+		c.sink.leftOut(wentWell(e))
+		line.Free()
 		return nil
 	}
 	c.sink.waiting.Add(1)
 	select {
-	case c.sink.lines <- append([]byte(nil), buffer.Bytes()...):
+	case c.sink.lines <- line:
 	default:
+		line.Free()
 		c.sink.waiting.Add(-1)
 		c.sink.unread.Add(1)
 	}
