fix(entry): changed settings apply to requests, also without a signal

Cause: a reload replaced the settings, but the handler's ages, the retry budget and the load bound were read once at the start; and the file was looked at on SIGHUP only, though the platform may change it without one. Change: the handler asks for its ages, the budget and the placing table take new policies, and the file is compared each second. A changed window counts the old repeats as made now, so that storms of settings give no second budget. Before: TestReloadedBoundsApply answers 503 with the new bound; after: 200. TestSettingsAreWatched and TestChangedPolicyForgetsNoRepeat are new.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -1,9 +1,11 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -14,8 +16,12 @@
 	"go.uber.org/zap"
 )
 
-// logFlush bounds how long a stopping process waits for the reader of its logs.
-const logFlush = 100 * time.Millisecond
+const (
+	// logFlush bounds how long a stopping process waits for the reader of its logs.
+	logFlush = 100 * time.Millisecond
+	// settingsPeriod is the pause between two looks at the settings file, which may change without a signal.
+	settingsPeriod = time.Second
+)
 
 type entryCmd struct {
 	cmd    *cobra.Command
@@ -55,15 +61,46 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
-	go func() {
-		for range hangup {
-			fresh, err := entry.Load(e.config)
-			if err != nil {
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go watchSettings(watchCtx, e.config, hangup, n.Reload, log)
+	return n.Run(ctx)
+}
+
+// watchSettings loads the settings file anew at a signal and whenever its content has changed, until ctx ends; where they
+// cannot be read or are wrong, the last good ones stay.
+func watchSettings(ctx context.Context, file string, hangup <-chan os.Signal, reload func(entry.Settings), log *zap.Logger) {
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	last, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		log.Warn("settings not read", zap.Error(err))
+	}
+	for {
+		told := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			told = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(filepath.Clean(file))
+		if err == nil && bytes.Equal(data, last) && !told {
+			continue
+		}
+		var fresh entry.Settings
+		if err == nil {
+			fresh, err = entry.Parse(file, data)
+		}
+		if err != nil {
+			if told || !bytes.Equal(data, last) {
 				log.Warn("settings not reloaded", zap.Error(err))
-				continue
 			}
-			n.Reload(fresh)
+			last = data
+			continue
 		}
-	}()
-	return n.Run(ctx)
+		last = data
+		reload(fresh)
+	}
 }
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -3,10 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/process/entry"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // TestWrongSettingsEndTheProcessWithTwo checks the exit code and the one line that names the fault.
@@ -36,3 +44,68 @@
 		})
 	}
 }
+
+// TestSettingsAreWatched changes the settings file without a signal, to wrong content and back, and gives a signal.
+func TestSettingsAreWatched(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	good := func(shutdown string) string {
+		return fmt.Sprintf(`[instance]
+name = "n1"
+failureDomain = "a"
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+[bounds]
+shutdown = %q
+[retries]
+window = "10s"
+`, shutdown)
+	}
+	write(good("5s"))
+	hangup := make(chan os.Signal, 1)
+	reloads := make(chan time.Duration, 16)
+	core, seen := observer.New(zap.WarnLevel)
+	ctx, stop := context.WithCancel(t.Context())
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		watchSettings(ctx, file, hangup, func(s entry.Settings) { reloads <- s.Bounds.Shutdown.Std() }, zap.New(core))
+	})
+	defer ended.Wait()
+	defer stop()
+	await := func(want time.Duration) {
+		t.Helper()
+		select {
+		case got := <-reloads:
+			if got != want {
+				t.Fatalf("reloaded with %s, want %s", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("not reloaded with %s", want)
+		}
+	}
+	hangup <- syscall.SIGHUP
+	await(5 * time.Second)
+	write(good("6s"))
+	await(6 * time.Second)
+	write(good("soon"))
+	for deadline := time.Now().Add(10 * time.Second); seen.FilterMessage("settings not reloaded").Len() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("wrong settings are not logged")
+		}
+	}
+	time.Sleep(2 * settingsPeriod)
+	if n := seen.FilterMessage("settings not reloaded").Len(); n != 1 {
+		t.Errorf("wrong settings are logged %d times", n)
+	}
+	write(good("7s"))
+	await(7 * time.Second)
+}
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -85,7 +85,7 @@
 	list := engines.NewList(all)
 	f.engines = list
 	f.handler = New(Parts{
-		Names: testNames, Limits: Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second}, Table: placing.New(placing.Policy{LoadBound: 1.5}),
+		Names: testNames, Limits: func() Limits { return Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
 		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Metrics: metrics.NewText(), Suspects: suspects.New(), Log: zap.NewNop(),
 		World: func() World {
 			return World{Configuration: configuration, Engines: list, ProofAge: time.Duration(f.age.Load()), Instances: 3}
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -58,10 +58,11 @@
 	if world.Configuration == nil {
 		return nil, "", &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryElsewhere}
 	}
+	limits := h.Limits()
 	unsure := &refusal{http.StatusServiceUnavailable, "the configuration may have changed", retryElsewhere}
 	route, ok := world.Configuration.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
-		if world.ProofAge > h.Limits.DenyAge {
+		if world.ProofAge > limits.DenyAge {
 			return nil, "", unsure
 		}
 		return nil, "", &refusal{http.StatusNotFound, "no route matches", 0}
@@ -69,7 +70,7 @@
 	if route.Public || !world.Configuration.NeedsKeys() {
 		return route, "", nil
 	}
-	if world.ProofAge > h.Limits.KeyAge {
+	if world.ProofAge > limits.KeyAge {
 		return nil, "", unsure
 	}
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
@@ -77,7 +78,7 @@
 	if ok {
 		return route, org, nil
 	}
-	if world.ProofAge > h.Limits.DenyAge {
+	if world.ProofAge > limits.DenyAge {
 		return nil, "", unsure
 	}
 	return nil, "", &refusal{http.StatusUnauthorized, "the key is not known", 0}
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -64,7 +64,8 @@
 	// Parts are what a handler works with.
 	Parts struct {
 		Names  Names
-		Limits Limits
+		// Limits returns those in force.
+		Limits func() Limits
 		Domain ident.Domain
 		World  func() World
 		Table  *placing.Table
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -56,6 +56,7 @@
 
 	instance struct {
 		settings entry.Settings
+		node     *entry.Instance
 		client   *memstore.Client
 		stop     context.CancelFunc
 		ended    chan error
@@ -138,6 +139,12 @@
 }
 
 func (f *fleet) start(i int, first bool) {
+	f.t.Helper()
+	f.launch(i, first)
+	f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
+}
+
+func (f *fleet) launch(i int, first bool) {
 	f.t.Helper()
 	n := f.nodes[i]
 	n.settings.Instance.FirstStart = first
@@ -146,9 +153,8 @@
 		f.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n.stop, n.ended = stop, make(chan error, 1)
+	n.node, n.stop, n.ended = node, stop, make(chan error, 1)
 	go func() { n.ended <- node.Run(ctx) }()
-	f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
 }
 
 func (f *fleet) halt(i int) {
@@ -347,6 +353,20 @@
 }
 
 // TestPlannedStopCutsNoRequest stops each instance in turn under load.
+// TestReloadedBoundsApply lengthens the time within which revoked keys end, while the store is cut off.
+func TestReloadedBoundsApply(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.nodes[0].client.SetCut(true)
+	f.eventually(func() bool { return f.ask(0, oneKey, "/p/x") == http.StatusServiceUnavailable }, "the key is accepted for too long")
+	s := f.nodes[0].settings
+	s.Bounds.KeyRevocation = tomlfile.NewDuration(time.Hour)
+	f.nodes[0].node.Reload(s)
+	if got := f.ask(0, oneKey, "/p/x"); got != http.StatusOK {
+		t.Errorf("with the new bound it answers %d", got)
+	}
+}
+
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -29,10 +29,6 @@
 )
 
 const (
-	// loadShare is the part of the allowed multiple of the mean load that choices use, since counts are a moment old.
-	loadShare = 0.75
-	// defaultLoadFactor applies where the platform sets no multiple of the mean load.
-	defaultLoadFactor = 2
 	// headerTimeout bounds how long a caller may take to send a request's head.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a request's head, at four times what configurations allow callers.
@@ -143,14 +139,10 @@
 	if err != nil {
 		return nil, err
 	}
-	factor := s.Bounds.LoadFactor
-	if factor == 0 {
-		factor = defaultLoadFactor
-	}
 	n := &Instance{
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
-		table:  placing.New(placing.Policy{LoadBound: max(loadShare*factor, 1)}),
+		table:  placing.New(s.placingPolicy()),
 		client: upstream.New(), heartbeats: heartbeats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), decoded: make(map[string]engines.Engine),
 	}
 	n.settings.Store(&s)
@@ -214,12 +206,18 @@
 // Reload takes changed settings; addresses stay as they are.
 func (n *Instance) Reload(s Settings) {
 	n.settings.Store(&s)
+	n.budget.SetPolicy(s.retryPolicy(), time.Now())
+	n.table.SetPolicy(s.placingPolicy())
 	n.log.Info("settings reloaded")
 }
 
 func (n *Instance) handler(s *Settings) http.Handler {
+	limits := func() forward.Limits {
+		s := n.settings.Load()
+		return forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}
+	}
 	return forward.New(forward.Parts{
-		Names: n.platform.Names, Limits: forward.Limits{KeyAge: s.keyAge(), DenyAge: s.denyAge()}, Domain: s.Instance.FailureDomain,
+		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
 		World: n.worldNow, Table: n.table, Budget: n.budget, Client: n.client, Suspects: n.suspects, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
 	})
 }
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 )
 
@@ -18,6 +19,10 @@
 	defaultKeyAge = 30 * time.Second
 	// stopMargin is left of the time that the platform gives a process to stop.
 	stopMargin = 700 * time.Millisecond
+	// loadShare is the part of the allowed multiple of the mean load that choices use, since counts are a moment old.
+	loadShare = 0.75
+	// defaultLoadFactor applies where the platform sets no multiple of the mean load.
+	defaultLoadFactor = 2
 )
 
 type (
@@ -125,3 +130,11 @@
 func (s *Settings) retryPolicy() retries.Policy {
 	return retries.Policy{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()}
 }
+
+func (s *Settings) placingPolicy() placing.Policy {
+	factor := s.Bounds.LoadFactor
+	if factor == 0 {
+		factor = defaultLoadFactor
+	}
+	return placing.Policy{LoadBound: max(loadShare*factor, 1)}
+}
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -126,6 +126,13 @@
 	return &Table{policy: p, engines: make(map[engines.Key]*state), remote: make(map[string]remote), parts: parts, rate: firstRate}
 }
 
+// SetPolicy takes other bounds for the choices to come.
+func (t *Table) SetPolicy(p Policy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy = p
+}
+
 // PartOf returns a part of a prompt of a model by the part's name.
 func PartOf(name string, tokens int, model ident.Model) Part {
 	return Part{ID: PartID(xxhash.Sum64String(string(model) + "\x00" + name)), Tokens: tokens}
--- a/request/retries/retries.go
+++ b/request/retries/retries.go
@@ -45,6 +45,23 @@
 	return &Budget{policy: p, services: make(map[ident.Service]*counts)}
 }
 
+// SetPolicy takes another budget. Where the window changes, the repeats of the old one count as made now, and its requests no more.
+func (b *Budget) SetPolicy(p Policy, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := p.Window != b.policy.Window
+	b.policy = p
+	if !changed {
+		return
+	}
+	old := b.services
+	b.services = make(map[ident.Service]*counts)
+	for s, c := range old {
+		fresh := b.at(s, now)
+		fresh.repeats[fresh.turn%buckets] = sum(c.repeats)
+	}
+}
+
 // Request notes a first send for a service.
 func (b *Budget) Request(s ident.Service, now time.Time) {
 	b.mu.Lock()
--- a/request/retries/retries_test.go
+++ b/request/retries/retries_test.go
@@ -40,6 +40,27 @@
 	}
 }
 
+// TestChangedPolicyForgetsNoRepeat changes the budget again and again while every request fails.
+func TestChangedPolicyForgetsNoRepeat(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(policy)
+	got := 0
+	for i := range 20 {
+		b.SetPolicy(Policy{Ratio: policy.Ratio, Slack: policy.Slack, Window: policy.Window + time.Duration(i%3)*time.Second}, now)
+		for b.Take(service, 9, now) {
+			got++
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	if got != 3 {
+		t.Fatalf("%d repeats allowed within one window, want 3", got)
+	}
+	b.SetPolicy(Policy{Ratio: policy.Ratio, Slack: 10 * policy.Slack, Window: policy.Window}, now)
+	if !b.Take(service, 9, now) {
+		t.Fatal("a larger budget does not apply")
+	}
+}
+
 // TestFleetStaysWithinBudgetThroughRestarts plays nine instances that all fail every request, and are all restarted within one window.
 func TestFleetStaysWithinBudgetThroughRestarts(t *testing.T) {
 	const instances = 9
