fix(heartbeat): messages that cannot be taken in are logged; fetches are bounded

Cause: receive and accept dropped errors without a word, and an instance answered any number of fetches at once, so that at a common start of a large fleet all of them could time out together. Change: each failure is logged (within the logs' budget) and counted as peerMessagesFailed; three fetches are answered at once, the others are turned away and go to another instance; a fetch may take 1.5 s, since 10,000 engines are 0.5 MB packed. Before: no test of the package; TestBrokenMessagesAreToldAndPassedOver and TestFetchesOverTheLimitAreTurnedAway fail on the old code by construction (it has no word for either).

--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
@@ -26,7 +27,14 @@
 	// Unproven is the age of a replica that nobody has proven current.
 	Unproven = time.Duration(-1)
 
-	fetchTimeout = 800 * time.Millisecond
+	// fetchTimeout bounds a fetch: 0.5 MB, which 10,000 engines take packed, need 0.4 s on the smallest links, three at a time.
+	fetchTimeout = 1500 * time.Millisecond
+	// askTimeout bounds how long an asker may take to say what it wants.
+	askTimeout = 800 * time.Millisecond
+	// mostGiven is how many fetches an instance answers at once; others are turned away and ask another instance.
+	mostGiven = 3
+	// failurePause keeps a listener that fails from spinning.
+	failurePause = 10 * time.Millisecond
 )
 
 type (
@@ -171,13 +179,14 @@
 // Duration returns the time as the standard library's type.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
-// Run passes heartbeats to hear and answers fetches with what give returns, until ctx ends.
-func (c *Conn) Run(ctx context.Context, hear func(Message), give func(Ask) Fetched) error {
+// Run passes heartbeats to hear, answers fetches with what give returns, and tells failed of what could not be received,
+// until ctx ends.
+func (c *Conn) Run(ctx context.Context, hear func(Message), give func(Ask) Fetched, failed func(error)) error {
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	group, _ := errgroup.WithContext(ctx)
-	group.Go(func() error { return c.receive(ctx, hear) })
-	group.Go(func() error { return c.accept(ctx, give) })
+	group.Go(func() error { return c.receive(ctx, hear, failed) })
+	group.Go(func() error { return c.accept(ctx, give, failed) })
 	return group.Wait()
 }
 
@@ -226,49 +235,68 @@
 	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), wire.MaxBodyBytes))
 }
 
-func (c *Conn) receive(ctx context.Context, hear func(Message)) error {
+func (c *Conn) receive(ctx context.Context, hear func(Message), failed func(error)) error {
 	buffer := make([]byte, 64<<10)
 	for {
-		n, _, err := c.udp.ReadFromUDP(buffer)
+		n, from, err := c.udp.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
+			failed(errors.Wrap(err, "receive heartbeat"))
+			pause.For(ctx, failurePause)
 			continue
 		}
-		if b, err := wire.Decode[Message](buffer[:n]); err == nil {
-			hear(b)
+		b, err := wire.Decode[Message](buffer[:n])
+		if err != nil {
+			failed(errors.Wrapf(err, "decode heartbeat from %s", from))
+			continue
 		}
+		hear(b)
 	}
 }
 
-func (c *Conn) accept(ctx context.Context, give func(Ask) Fetched) error {
+func (c *Conn) accept(ctx context.Context, give func(Ask) Fetched, failed func(error)) error {
+	slots := make(chan struct{}, mostGiven)
 	for {
 		conn, err := c.tcp.Accept()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
+			failed(errors.Wrap(err, "accept fetch"))
+			pause.For(ctx, failurePause)
 			continue
 		}
-		go answer(conn, give)
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				defer func() { <-slots }()
+				if err := answer(conn, give); err != nil {
+					failed(errors.Wrapf(err, "answer fetch of %s", conn.RemoteAddr()))
+				}
+			}()
+		default:
+			_ = conn.Close()
+		}
 	}
 }
 
-func answer(conn net.Conn, give func(Ask) Fetched) {
+func answer(conn net.Conn, give func(Ask) Fetched) error {
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+	_ = conn.SetDeadline(time.Now().Add(askTimeout))
 	f, err := wire.Read(conn)
 	if err != nil {
-		return
+		return err
 	}
 	ask, err := wire.Decode[Ask](f.Body)
 	if err != nil {
-		return
+		return err
 	}
 	body, err := pack(wire.Encode(give(ask)))
 	if err != nil {
-		return
+		return err
 	}
-	_ = wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: body})
+	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+	return wire.Write(conn, wire.Frame{Kind: wire.KindReply, Body: body})
 }
--- /dev/null
+++ b/connection/heartbeat/heartbeat_test.go
@@ -0,0 +1,152 @@
+package heartbeat
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+)
+
+const testPatience = 10 * time.Second
+
+// listenTest runs a listener whose heartbeats and failures come through the channels, until the test ends.
+func listenTest(t *testing.T, give func(Ask) Fetched) (address string, heard chan Message, failures chan error) {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = probe.Addr().String()
+	if err := probe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard, failures = make(chan Message, 16), make(chan error, 16)
+	ctx, stop := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	ended.Go(func() { _ = c.Run(ctx, func(m Message) { heard <- m }, give, func(err error) { failures <- err }) })
+	t.Cleanup(func() {
+		stop()
+		ended.Wait()
+	})
+	return address, heard, failures
+}
+
+func receive[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(testPatience):
+		t.Fatal("nothing came")
+	}
+	panic("unreachable")
+}
+
+// TestBrokenMessagesAreToldAndPassedOver sends what is no heartbeat, and then one.
+func TestBrokenMessagesAreToldAndPassedOver(t *testing.T) {
+	address, heard, failures := listenTest(t, func(Ask) Fetched { return Fetched{} })
+	conn, err := net.Dial("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write([]byte("no heartbeat")); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, failures); !strings.Contains(err.Error(), "decode heartbeat from 127.0.0.1") {
+		t.Errorf("told %v", err)
+	}
+	if _, err := conn.Write(Encode(Message{Peer: "127.0.0.2:1", Ask: boottime.Instant(7)})); err != nil {
+		t.Fatal(err)
+	}
+	if m := receive(t, heard); m.Peer != "127.0.0.2:1" || m.Ask != 7 {
+		t.Errorf("heard %+v", m)
+	}
+	fetch, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fetch.Write([]byte(strings.Repeat("x", 64))); err != nil {
+		t.Fatal(err)
+	}
+	_ = fetch.Close()
+	if err := receive(t, failures); !strings.Contains(err.Error(), "answer fetch of 127.0.0.1") {
+		t.Errorf("told %v", err)
+	}
+}
+
+// TestFetchesOverTheLimitAreTurnedAway asks an instance that is busy with as many answers as it may give.
+func TestFetchesOverTheLimitAreTurnedAway(t *testing.T) {
+	begun, goOn := make(chan struct{}, mostGiven), make(chan struct{})
+	address, _, _ := listenTest(t, func(a Ask) Fetched {
+		begun <- struct{}{}
+		<-goOn
+		return Fetched{Delta: mirror.Delta{Revision: a.Since + 1}}
+	})
+	var asked sync.WaitGroup
+	for range mostGiven {
+		asked.Go(func() {
+			if f, err := Fetch(t.Context(), address, Ask{Since: 4}); err != nil || f.Delta.Revision != 5 {
+				t.Errorf("fetched %+v, %v", f, err)
+			}
+		})
+	}
+	for range mostGiven {
+		receive(t, begun)
+	}
+	if _, err := Fetch(t.Context(), address, Ask{}); err == nil {
+		t.Error("one fetch more was answered")
+	}
+	close(goOn)
+	asked.Wait()
+	for deadline := time.Now().Add(testPatience); ; time.Sleep(time.Millisecond) {
+		_, err := Fetch(t.Context(), address, Ask{})
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("a fetch afterwards: %v", err)
+		}
+	}
+}
+
+// TestDatagramFitsIntoOnePacket gives a heartbeat more than fits.
+func TestDatagramFitsIntoOnePacket(t *testing.T) {
+	m := Message{Peer: "127.0.0.1:1", Revision: 9, Changed: true, Changes: []mirror.Entry{{Key: "k", Value: make([]byte, 2*MaxDatagram)}}}
+	for i := range 400 {
+		m.Rumours = append(m.Rumours, Rumour{IP: uint32(i), Age: 1000})
+		m.Stated = append(m.Stated, Load{Requests: i})
+	}
+	body := Encode(m)
+	if len(body) > MaxDatagram {
+		t.Fatalf("%d bytes", len(body))
+	}
+	got, err := wire.Decode[Message](body)
+	if err != nil || got.Peer != m.Peer || got.Revision != 9 || got.Changed || len(got.Changes) != 0 {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(Message{Peer: "127.0.0.1:1", Holders: []Holder{{Age: 3}}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := wire.Decode[Message](data)
+		if err != nil {
+			return
+		}
+		if _, err := wire.Decode[Message](Encode(m)); err != nil {
+			t.Fatal(fmt.Sprintf("%+v cannot be decoded again: %v", m, err))
+		}
+	})
+}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// unreceived logs a heartbeat or fetch that could not be taken in or answered.
+func (n *Instance) unreceived(err error) {
+	n.metrics.Add("peerMessagesFailed", 1)
+	n.log.Warn("peer message failed", zap.Error(err))
+}
+
 // takeProof takes what an answer says of the replicas: it was true at or after the moment at which this instance asked.
 func (n *Instance) takeProof(b heartbeat.Message) {
 	if b.ProofAge < 0 {
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -173,7 +173,7 @@
 		}
 		group.Go(func() error { return ignoreClosed(each.server.Serve(listener)) })
 	}
-	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.hear, n.give) })
+	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.hear, n.give, n.unreceived) })
 	group.Go(func() error { return n.sendHeartbeats(groupCtx) })
 	group.Go(func() error { return n.follow(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
