fix(entry): a large fleet comes back after all instances were killed

Cause: every starting instance read the whole store within one limit of 1.4 s. Ruled out: restarts one after another (all start within 0.1 s), engines' registrations, readiness (89 instances with 141 engines serve 0.2 s after their start). Change: pages are kept between calls and each has the limit; a starting instance first lists the registered ones, and only 64 by rank read everything, the others take a replica from them, or read one by one after 1.5 s. TestLargeFleetReturnsAfterAllWereKilled fails before; TestStartsAreBounded, TestStartDoesNotWaitForTheDead are new.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -353,6 +353,29 @@
 }
 
 // TestPlannedStopCutsNoRequest stops each instance in turn under load.
+// TestLargeFleetReturnsAfterAllWereKilled restarts all instances at once before a store that cannot serve them all within one call's time.
+func TestLargeFleetReturnsAfterAllWereKilled(t *testing.T) {
+	t.Parallel()
+	const (
+		size, engineCount = 80, 4000
+		engineBytes       = 240
+		// pace is such that one whole read for each instance takes 4 s.
+		pace = size * engineCount * engineBytes / 4
+	)
+	f := newFleet(t, size)
+	for i := range engineCount {
+		f.store.Put(fmt.Sprintf("engines/x%05d", i), []byte(strings.Repeat("x", engineBytes)))
+	}
+	f.haltAll()
+	f.store.SetPace(pace)
+	for i := range f.nodes {
+		f.launch(i, false)
+	}
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
+	}
+}
+
 // TestReloadedBoundsApply lengthens the time within which revoked keys end, while the store is cut off.
 func TestReloadedBoundsApply(t *testing.T) {
 	t.Parallel()
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -46,8 +46,8 @@
 type (
 	// Store is the platform's store.
 	Store interface {
-		// Read returns all entries below a prefix, and a revision at which none was missing.
-		Read(ctx context.Context, prefix string) ([]mirror.Entry, ident.Revision, error)
+		// Read returns a page of the entries below a prefix, those with keys after one.
+		Read(ctx context.Context, prefix, after string) (Page, error)
 		// Watch returns the changes after a revision as soon as there are any, or none after a wait; it fails with *CompactedError where they are not kept any more.
 		Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error)
 		// Lend stores a value that disappears unless it is renewed within the time, and returns the lease.
@@ -56,6 +56,15 @@
 		Renew(ctx context.Context, lease string) error
 	}
 
+	// Page is a part of what lies below a prefix, in the order of keys.
+	Page struct {
+		Entries []mirror.Entry
+		// Revision is one at which no entry of the page was missing.
+		Revision ident.Revision
+		// More says that further entries follow.
+		More bool
+	}
+
 	// Decoder reads the entries of the store.
 	Decoder interface {
 		// Configuration reads the operators' configuration.
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
+	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/process/readers"
@@ -25,20 +26,38 @@
 	failPauseMost = time.Second
 	// checkPeriod is how often an instance that does not read checks whether it is to.
 	checkPeriod = 100 * time.Millisecond
+	// pagesLife is how long the pages of a read of everything are kept for its next one: half of the history that a store keeps.
+	pagesLife = 10 * time.Second
 	// registrationLife is how long an instance stays registered after its end, and renewPeriod how often it renews.
 	registrationLife = 30 * time.Second
 	renewPeriod      = 10 * time.Second
 )
 
+// reading is what an instance has of a read of everything that is not finished, and what it knows of others that read too.
+type reading struct {
+	began boottime.Instant
+	// peers are the registered instances, once listed.
+	peers  []string
+	listed bool
+	// entries were read up to the key after, the first page at a time and revision from which changes are followed then.
+	entries  []mirror.Entry
+	after    string
+	proven   boottime.Instant
+	revision ident.Revision
+	// compacted says that everything is to be read though there is a replica, since the store dropped its history.
+	compacted bool
+}
+
 // readStore reads the store while this instance is to do so for all.
 func (n *Instance) readStore(ctx context.Context) error {
+	r := &reading{began: boottime.Now()}
 	failures := 0
 	for ctx.Err() == nil {
-		if !n.isToRead() {
+		if !n.isToRead(r) {
 			pause.For(ctx, checkPeriod)
 			continue
 		}
-		if err := n.readOnce(ctx); err != nil {
+		if err := n.readOnce(ctx, r); err != nil {
 			if failures == 0 && ctx.Err() == nil {
 				n.log.Warn("store lost", zap.Error(err))
 			}
@@ -53,17 +72,20 @@
 		}
 		failures = 0
 		n.storeLost.Store(false)
-		pause.For(ctx, watchPause)
+		if _, _, loaded := n.mirror.State(); loaded {
+			pause.For(ctx, watchPause)
+		}
 	}
 	return ctx.Err()
 }
 
 // isToRead reports whether this instance reads the store now.
-func (n *Instance) isToRead() bool {
+func (n *Instance) isToRead(r *reading) bool {
 	now := boottime.Now()
 	age := n.proofAge(now)
+	alive := n.members.Alive(now)
 	if age == heartbeat.Unproven {
-		return true
+		return !r.listed || readers.Starts(n.self, r.peers, now.Sub(r.began), checkPeriod, len(alive)+1, rand.Float64())
 	}
 	if n.stopping.Load() {
 		return false
@@ -72,7 +94,6 @@
 	if !n.storeLost.Load() {
 		all = append(all, readers.Instance{Peer: n.self, Domain: n.settings.Load().Instance.FailureDomain})
 	}
-	alive := n.members.Alive(now)
 	for _, m := range alive {
 		if m.State != members.Stopping && !m.StoreLost {
 			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
@@ -81,12 +102,17 @@
 	return readers.Chosen(n.self, all) || n.schedule().Helps(age, checkPeriod, len(alive)+1, rand.Float64())
 }
 
-// readOnce brings the replica up to date by one call: a watch where there is a replica, and a read of everything otherwise.
-func (n *Instance) readOnce(ctx context.Context) error {
+// readOnce brings the replica nearer to the store by one call: a watch where there is a replica, and otherwise the list of
+// instances, or a part of everything.
+func (n *Instance) readOnce(ctx context.Context, r *reading) error {
 	n.metrics.Add("storeReads", 1)
 	sent := boottime.Now()
 	revision, _, loaded := n.mirror.State()
-	if loaded {
+	if !loaded && !r.listed {
+		return n.listPeers(ctx, r)
+	}
+	if loaded && !r.compacted {
+		r.entries, r.after = nil, ""
 		wait := n.schedule().Watch
 		if n.proofAge(sent) > 2*wait {
 			wait = time.Millisecond
@@ -103,15 +129,57 @@
 			return err
 		}
 		n.log.Info("store dropped its history", zap.Int64("after", int64(revision)))
+		r.compacted = true
+	}
+	return n.readPage(ctx, r)
+}
+
+// listPeers reads which instances are registered: at a common start, all of them would read everything.
+func (n *Instance) listPeers(ctx context.Context, r *reading) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	now := boottime.Now()
+	var peers []string
+	for after, more := "", true; more; {
+		page, err := n.platform.Store.Read(ctx, n.platform.Keys.Instances, after)
+		if err != nil {
+			return err
+		}
+		for _, e := range page.Entries {
+			after = e.Key
+			if peer := string(e.Value); peer != n.self {
+				peers = append(peers, peer)
+				n.members.Known(peer, now)
+			}
+		}
+		more = page.More
+	}
+	r.peers, r.listed = peers, true
+	return nil
+}
+
+// readPage reads a page of everything, and takes all of them after the last one. A read that stops for too long begins anew.
+func (n *Instance) readPage(ctx context.Context, r *reading) error {
+	sent := boottime.Now()
+	if sent.Sub(r.proven) > pagesLife {
+		r.entries, r.after = nil, ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	sent = boottime.Now()
-	entries, at, err := n.platform.Store.Read(ctx, "")
+	page, err := n.platform.Store.Read(ctx, "", r.after)
 	if err != nil {
 		return err
 	}
-	n.news(mirror.Delta{Full: true, Entries: entries, Revision: at}, sent)
+	if r.after == "" {
+		r.proven, r.revision = sent, page.Revision
+	}
+	r.entries = append(r.entries, page.Entries...)
+	if page.More {
+		r.after = r.entries[len(r.entries)-1].Key
+		return nil
+	}
+	n.news(mirror.Delta{Full: true, Entries: r.entries, Revision: r.revision}, r.proven)
+	r.entries, r.after, r.compacted = nil, "", false
 	return nil
 }
 
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -20,6 +20,13 @@
 	// helpEvery is the mean pause between two reads of all helping instances together.
 	helpEvery = 400 * time.Millisecond
 
+	// startCount is how many instances may read everything at once at their start: 64 times 3.3 MB, which 10,000 engines
+	// take, are 1.7 s of a store's 1,000 Mbit/s.
+	startCount = 64
+	// startPatience is how long the other ones wait for a replica from one of those before they read too, one by one; in
+	// that time a replica spreads over five rounds of heartbeats.
+	startPatience = 1500 * time.Millisecond
+
 	// rankKey is the key by which instances are ranked as readers.
 	rankKey = "readers"
 )
@@ -68,7 +75,32 @@
 	return slices.Contains(chosen, self)
 }
 
+// Starts reports whether a starting instance reads everything itself, rather than wait for a replica from another; listed
+// are the other instances that may start too, waited is how long this one has, and alive how many it hears of.
+func Starts(self string, listed []string, waited, step time.Duration, alive int, draw float64) bool {
+	candidates := []rank.Member{{Name: self, Weight: 1}}
+	for _, peer := range listed {
+		if peer != self {
+			candidates = append(candidates, rank.Member{Name: peer, Weight: 1})
+		}
+	}
+	if len(candidates) <= startCount {
+		return true
+	}
+	for _, i := range rank.Order(rankKey, candidates, startCount) {
+		if candidates[i].Name == self {
+			return true
+		}
+	}
+	return waited >= startPatience && draw < share(step, alive)
+}
+
 // Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; it is asked every step, with a random number from 0 to 1.
 func (s Schedule) Helps(proofAge, step time.Duration, instances int, draw float64) bool {
-	return proofAge >= s.HelpAfter && draw < float64(step)/float64(helpEvery*time.Duration(max(instances, 1)))
+	return proofAge >= s.HelpAfter && draw < share(step, instances)
+}
+
+// share is the chance with which one of some instances reads within a step, so that one of all does in each helpEvery.
+func share(step time.Duration, instances int) float64 {
+	return float64(step) / float64(helpEvery*time.Duration(max(instances, 1)))
 }
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -79,3 +79,41 @@
 		t.Fatal("an instance reads though the last proof is new")
 	}
 }
+
+func TestStartsAreBounded(t *testing.T) {
+	tests := []struct{ size, want int }{{1, 1}, {9, 9}, {64, 64}, {89, 64}, {940, 64}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d instances", tt.size), func(t *testing.T) {
+			var listed []string
+			for _, i := range fleet(tt.size, 4) {
+				listed = append(listed, i.Peer)
+			}
+			count := 0
+			for _, self := range listed {
+				if Starts(self, listed, 0, time.Hour, 1, 0) {
+					count++
+				}
+			}
+			if count != tt.want {
+				t.Fatalf("%d read at once, want %d", count, tt.want)
+			}
+		})
+	}
+}
+
+// TestStartDoesNotWaitForTheDead has one instance start while all that are listed are gone.
+func TestStartDoesNotWaitForTheDead(t *testing.T) {
+	const step = 100 * time.Millisecond
+	var listed []string
+	for _, i := range fleet(940, 22) {
+		listed = append(listed, i.Peer)
+	}
+	draws := rand.New(rand.NewPCG(1, 2))
+	waited := time.Duration(0)
+	for !Starts("10.9.9.9:7000", listed, waited, step, 1, draws.Float64()) {
+		waited += step
+	}
+	if waited < startPatience || waited > startPatience+10*helpEvery {
+		t.Fatalf("it reads after %s", waited)
+	}
+}
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -14,6 +14,13 @@
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 )
 
+const (
+	// pageItems is how many items are on a page.
+	pageItems = 500
+	// chunk is how many bytes go to one reader before it is another's turn.
+	chunk = 16 << 10
+)
+
 var errDown = errors.New("the store does not answer")
 
 type (
@@ -28,6 +35,9 @@
 		changed  chan struct{}
 		calls    int
 		down     bool
+		// pace is how many bytes go to all readers in a second, or 0 for any number; turn is held by the one that is served.
+		pace float64
+		turn sync.Mutex
 	}
 
 	// Client is the way of one instance to the store; it can be cut.
@@ -62,6 +72,13 @@
 	s.wake()
 }
 
+// SetPace bounds the bytes that go to all readers in a second.
+func (s *Store) SetPace(bytesPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = bytesPerSecond
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -87,21 +104,31 @@
 	c.store.wake()
 }
 
-// Read returns all entries below a prefix.
-func (c *Client) Read(_ context.Context, prefix string) ([]mirror.Entry, ident.Revision, error) {
+// Read returns a page of the entries below a prefix, in the order of keys.
+func (c *Client) Read(ctx context.Context, prefix, after string) (entry.Page, error) {
+	page, err := c.page(prefix, after)
+	if err != nil {
+		return entry.Page{}, err
+	}
+	return page, c.store.deliver(ctx, page)
+}
+
+func (c *Client) page(prefix, after string) (entry.Page, error) {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := c.call(); err != nil {
-		return nil, 0, err
+		return entry.Page{}, err
 	}
 	var list []mirror.Entry
 	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			list = append(list, e)
 		}
 	}
-	return list, s.revision, nil
+	slices.SortFunc(list, func(a, b mirror.Entry) int { return strings.Compare(a.Key, b.Key) })
+	end := min(len(list), pageItems)
+	return entry.Page{Entries: list[:end], Revision: s.revision, More: end < len(list)}, nil
 }
 
 // Watch returns the changes after a revision, or none after the wait.
@@ -192,6 +219,26 @@
 	return s.revision
 }
 
+// deliver takes the time that a page needs, in turns with other readers.
+func (s *Store) deliver(ctx context.Context, p entry.Page) error {
+	s.mu.Lock()
+	pace := s.pace
+	s.mu.Unlock()
+	if pace == 0 {
+		return nil
+	}
+	bytes := 0
+	for _, e := range p.Entries {
+		bytes += len(e.Key) + len(e.Value)
+	}
+	for ; bytes > 0 && ctx.Err() == nil; bytes -= chunk {
+		s.turn.Lock()
+		time.Sleep(time.Duration(float64(min(bytes, chunk)) / pace * float64(time.Second)))
+		s.turn.Unlock()
+	}
+	return ctx.Err()
+}
+
 // wake lets all waiting watches look again.
 func (s *Store) wake() {
 	close(s.changed)
