--- a/caller/caller.go
+++ b/caller/caller.go
@@ -12,9 +12,9 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 )
 
 const maxLineBytes = 1 << 20
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/process/entry"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
 
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/process/entry"
-	"github.com/vanillaroute/vanillaroute/process/logs"
 	"go.uber.org/zap"
 )
 
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -5,7 +5,7 @@
 	"io"
 
 	"github.com/spf13/cobra"
-	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/logs"
 )
 
 type explainCmd struct {
--- a/cmd/replay.go
+++ b/cmd/replay.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/replay"
+	"github.com/vanillaroute/vanillaroute/standin/check"
 	"github.com/vanillaroute/vanillaroute/standin/experiment"
 	"github.com/vanillaroute/vanillaroute/standin/site"
 )
@@ -65,7 +66,7 @@
 	for _, o := range at.Organisations {
 		keys[o.Name] = o.Key
 	}
-	target := replay.NewRouters(at.Engines[0].Model, at.Routers, keys)
+	target := replay.NewRouters(at.Engines[0].Model, at.Routers, keys, check.Answer)
 	defer target.Close()
 	row := experiment.Summarise(replay.Run(cmd.Context(), trace, target), trace[len(trace)-1].At())
 	doubled, err := at.Doubled(cmd.Context())
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/process/router"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 )
 
 type serveCmd struct {
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/standin/site"
 )
 
--- a/cmd/try.go
+++ b/cmd/try.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/vanillaroute/vanillaroute/process/logs"
-	"github.com/vanillaroute/vanillaroute/process/settings"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/logs"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/standin/embedded"
 	"github.com/vanillaroute/vanillaroute/standin/site"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 )
 
 const tryValidity = 500 * time.Millisecond
--- a/connection/callers/addresses.go
+++ b/connection/callers/addresses.go
@@ -3,10 +3,10 @@
 import (
 	"net/http"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/relay"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // maxAddresses is how many routers a caller is told of.
--- a/connection/callers/admin.go
+++ b/connection/callers/admin.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/version/apply"
 	"github.com/vanillaroute/vanillaroute/version/config"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 type (
--- a/connection/callers/chat.go
+++ b/connection/callers/chat.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/logs"
+	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // Headers by which a caller names its chat and class, and resumes a stream.
--- a/connection/callers/events.go
+++ b/connection/callers/events.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/connection/callers/server.go
+++ b/connection/callers/server.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/store"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/limits"
-	"github.com/vanillaroute/vanillaroute/process/metrics"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/metrics"
+	"github.com/vanillaroute/vanillaroute/request/limits"
 	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/settings"
+	"github.com/vanillaroute/vanillaroute/store"
 	"github.com/vanillaroute/vanillaroute/version/config"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"go.uber.org/zap"
 )
 
--- a/connection/forward/crashes.go
+++ b/connection/forward/crashes.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 )
 
 // maxGood bounds how many requests are remembered as answered well.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 )
--- a/connection/forward/parts.go
+++ b/connection/forward/parts.go
@@ -6,11 +6,11 @@
 
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/logs"
-	"github.com/vanillaroute/vanillaroute/process/metrics"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/logs"
+	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
@@ -63,7 +63,7 @@
 
 	// Parts are what a handler works with.
 	Parts struct {
-		Names  Names
+		Names Names
 		// Limits returns those in force.
 		Limits func() Limits
 		Domain ident.Domain
--- a/connection/store/store.go
+++ b/connection/gateway/client.go
@@ -1,4 +1,4 @@
-package store
+package gateway
 
 import (
 	"bytes"
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/store"
 )
 
 const (
@@ -20,97 +21,13 @@
 	maxTxnOps      = 100
 )
 
-type (
-	// Store is what the routers use of the platform's key-value service.
-	Store interface {
-		// List returns the entries under a prefix and the revision that they are of.
-		List(ctx context.Context, prefix string) ([]Entry, ident.Revision, error)
-		// Get returns one entry; an entry that does not exist has revision 0.
-		Get(ctx context.Context, key string) (Entry, error)
-		// Commit carries out a transaction; its error is *UnknownError where it may have taken effect.
-		Commit(ctx context.Context, t Txn) (Result, error)
-		// Grant creates a lease.
-		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-		// KeepAlive renews a lease, and returns ErrLeaseLost where it has ended.
-		KeepAlive(ctx context.Context, id Lease) error
-		// Watch passes on the changes under a prefix from a revision on, until ctx ends or the watch breaks.
-		Watch(ctx context.Context, prefix string, from ident.Revision, changes func([]Change)) error
-	}
-
-	// Lease identifies a lease of the store.
-	Lease int64
-
-	// Entry is a key with its value and the revision of its last change.
-	Entry struct {
-		Key      string
-		Value    []byte
-		Revision ident.Revision
-	}
-
-	// Change is an entry that was written, or deleted where Deleted is set.
-	Change struct {
-		Entry
-		Deleted bool
-	}
-
-	// Condition must hold for a transaction: the entry's last change is of Revision, 0 for none.
-	Condition struct {
-		Key      string
-		Revision ident.Revision
-	}
-
-	// Put writes a value, or deletes the key where Delete is set.
-	Put struct {
-		Key    string
-		Value  []byte
-		Lease  Lease
-		Delete bool
-	}
-
-	// Txn writes all its puts if all its conditions hold, and otherwise reads the conditions' keys.
-	Txn struct {
-		Conditions []Condition
-		Puts       []Put
-	}
-
-	// Result tells whether the conditions held, and if not, what the entries are.
-	Result struct {
-		Held     bool
-		Revision ident.Revision
-		Found    []Entry
-	}
-
-	// UnknownError tells that a call was sent and its answer was lost.
-	UnknownError struct{ Cause error }
-
-	// UnavailableError tells that a call was not carried out.
-	UnavailableError struct{ Cause error }
-
-	// Client is a Store over HTTP.
-	Client struct {
-		base string
-		http *http.Client
-	}
-)
-
-var (
-	// ErrLeaseLost tells that a lease has ended.
-	ErrLeaseLost = errors.New("lease lost")
-
-	_ Store = (*Client)(nil)
-)
-
-// Error names the cause.
-func (e *UnknownError) Error() string { return "answer of the store lost: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *UnknownError) Unwrap() error { return e.Cause }
-
-// Error names the cause.
-func (e *UnavailableError) Error() string { return "store unavailable: " + e.Cause.Error() }
+// Client is a Store over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
 
-// Unwrap returns the cause.
-func (e *UnavailableError) Unwrap() error { return e.Cause }
+var _ store.Store = (*Client)(nil)
 
 // New returns a client of the store at address, an IP number with a port.
 func New(address string) *Client {
@@ -119,8 +36,8 @@
 }
 
 // List reads the entries under a prefix page by page.
-func (c *Client) List(ctx context.Context, prefix string) ([]Entry, ident.Revision, error) {
-	var all []Entry
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, ident.Revision, error) {
+	var all []store.Entry
 	var revision ident.Revision
 	start := prefix
 	for {
@@ -143,19 +60,19 @@
 }
 
 // Get reads one entry.
-func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
 	var resp rangeResponse
 	if err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &resp); err != nil {
-		return Entry{}, err
+		return store.Entry{}, err
 	}
 	if len(resp.Kvs) == 0 {
-		return Entry{Key: key}, nil
+		return store.Entry{Key: key}, nil
 	}
 	return resp.Kvs[0].entry(), nil
 }
 
 // Commit carries out a transaction.
-func (c *Client) Commit(ctx context.Context, t Txn) (Result, error) {
+func (c *Client) Commit(ctx context.Context, t store.Txn) (store.Result, error) {
 	var req txnRequest
 	for _, cond := range t.Conditions {
 		req.Compare = append(req.Compare, compare{Key: []byte(cond.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(cond.Revision)})
@@ -169,13 +86,13 @@
 		req.Success = append(req.Success, operation{Put: &putRequest{Key: []byte(p.Key), Value: p.Value, Lease: int64(p.Lease)}})
 	}
 	if len(req.Success) > maxTxnOps || len(req.Compare) > maxTxnOps {
-		return Result{}, errors.Errorf("transaction of more than %d operations", maxTxnOps)
+		return store.Result{}, errors.Errorf("transaction of more than %d operations", maxTxnOps)
 	}
 	var resp txnResponse
 	if err := c.call(ctx, "/v3/kv/txn", req, &resp); err != nil {
-		return Result{}, err
+		return store.Result{}, err
 	}
-	result := Result{Held: resp.Succeeded, Revision: ident.Revision(resp.Header.Revision)}
+	result := store.Result{Held: resp.Succeeded, Revision: ident.Revision(resp.Header.Revision)}
 	for _, r := range resp.Responses {
 		if r.Range == nil {
 			continue
@@ -188,16 +105,16 @@
 }
 
 // Grant creates a lease.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	var resp leaseResponse
 	if err := c.call(ctx, "/v3/lease/grant", leaseRequest{TTL: int64(ttl / time.Second)}, &resp); err != nil {
 		return 0, err
 	}
-	return Lease(resp.ID), nil
+	return store.Lease(resp.ID), nil
 }
 
 // KeepAlive renews a lease.
-func (c *Client) KeepAlive(ctx context.Context, id Lease) error {
+func (c *Client) KeepAlive(ctx context.Context, id store.Lease) error {
 	var resp struct {
 		Result leaseResponse `json:"result"`
 	}
@@ -205,13 +122,13 @@
 		return err
 	}
 	if resp.Result.TTL <= 0 {
-		return ErrLeaseLost
+		return store.ErrLeaseLost
 	}
 	return nil
 }
 
 // Watch passes on changes in the order of their revisions.
-func (c *Client) Watch(ctx context.Context, prefix string, from ident.Revision, changes func([]Change)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, from ident.Revision, changes func([]store.Change)) error {
 	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: int64(from)}}
 	body, err := json.Marshal(req)
 	if err != nil {
@@ -226,10 +143,10 @@
 	for {
 		var m watchMessage
 		if err := messages.Decode(&m); err != nil {
-			return &UnavailableError{Cause: errors.Wrap(err, "watch")}
+			return &store.UnavailableError{Cause: errors.Wrap(err, "watch")}
 		}
 		if m.Result.Canceled {
-			return &UnavailableError{Cause: errors.New("watch cancelled by the store")}
+			return &store.UnavailableError{Cause: errors.New("watch cancelled by the store")}
 		}
 		if list := m.changes(); len(list) > 0 {
 			changes(list)
@@ -250,7 +167,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(resp); err != nil {
-		return &UnknownError{Cause: err}
+		return &store.UnknownError{Cause: err}
 	}
 	return nil
 }
@@ -266,17 +183,17 @@
 	if err != nil {
 		var dial *engine.DialError
 		if errors.As(err, &dial) {
-			return nil, &UnavailableError{Cause: dial}
+			return nil, &store.UnavailableError{Cause: dial}
 		}
-		return nil, &UnknownError{Cause: err}
+		return nil, &store.UnknownError{Cause: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		err := errors.Errorf("store answered %s", resp.Status)
 		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-			return nil, &UnavailableError{Cause: err}
+			return nil, &store.UnavailableError{Cause: err}
 		}
-		return nil, &UnknownError{Cause: err}
+		return nil, &store.UnknownError{Cause: err}
 	}
 	return resp, nil
 }
--- a/connection/store/gateway.go
+++ b/connection/gateway/gateway.go
@@ -1,6 +1,9 @@
-package store
+package gateway
 
-import "github.com/vanillaroute/vanillaroute/ident"
+import (
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/store"
+)
 
 // The field names of the etcd v3 JSON gateway, in which 64-bit numbers are strings and bytes are base64.
 type (
@@ -95,14 +98,14 @@
 	}
 )
 
-func (kv keyValue) entry() Entry {
-	return Entry{Key: string(kv.Key), Value: kv.Value, Revision: ident.Revision(kv.ModRevision)}
+func (kv keyValue) entry() store.Entry {
+	return store.Entry{Key: string(kv.Key), Value: kv.Value, Revision: ident.Revision(kv.ModRevision)}
 }
 
-func (m watchMessage) changes() []Change {
-	var list []Change
+func (m watchMessage) changes() []store.Change {
+	var list []store.Change
 	for _, e := range m.Result.Events {
-		list = append(list, Change{Entry: e.Kv.entry(), Deleted: e.Type == "DELETE"})
+		list = append(list, store.Change{Entry: e.Kv.entry(), Deleted: e.Type == "DELETE"})
 	}
 	return list
 }
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -11,13 +11,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/boottime"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/members"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"golang.org/x/sync/errgroup"
 )
 
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/connection/peer/pool.go
+++ b/connection/peer/pool.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/connection/store/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package store speaks to the platform's key-value service by the etcd v3 JSON gateway.
-package store
--- a/process/logs/logs.go
+++ b/logs/logs.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"go.uber.org/zap"
 )
 
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -9,10 +9,10 @@
 
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
-	"github.com/vanillaroute/vanillaroute/process/members"
-	"github.com/vanillaroute/vanillaroute/process/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"go.uber.org/zap"
 )
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/boottime"
-	"github.com/vanillaroute/vanillaroute/process/members"
+	"github.com/vanillaroute/vanillaroute/version/members"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -9,9 +9,9 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/members"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/readers"
+	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"go.uber.org/zap"
 )
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -7,9 +7,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 )
 
 const (
--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -6,7 +6,7 @@
 
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/rank"
--- a/process/entry/world.go
+++ b/process/entry/world.go
@@ -11,8 +11,8 @@
 
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
-	"github.com/vanillaroute/vanillaroute/process/members"
 	"github.com/vanillaroute/vanillaroute/version/engines"
+	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"go.uber.org/zap"
 )
--- a/process/home/admission.go
+++ b/process/home/admission.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/queue"
 	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/sums"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // admit takes the run into the queue, or says why not; a refusal means that nothing was handed over.
--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // lostError tells that an engine was gone, or had forgotten a stream, when it was to be resumed.
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/queue"
 	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/sums"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/process/home/set.go
+++ b/process/home/set.go
@@ -10,14 +10,14 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/metrics"
-	"github.com/vanillaroute/vanillaroute/process/settings"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/sums"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const answeredBodies = 16_384
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/store"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/store"
 )
 
 // ErrHeld tells that another router holds the key.
--- a/process/orders/holder.go
+++ b/process/orders/holder.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/engine"
-	"github.com/vanillaroute/vanillaroute/connection/store"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/lease"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/store"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
--- a/process/router/configuration.go
+++ b/process/router/configuration.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/store"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/lease"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/store"
 	"github.com/vanillaroute/vanillaroute/version/config"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"go.uber.org/zap"
 )
 
--- a/process/router/gossip.go
+++ b/process/router/gossip.go
@@ -7,10 +7,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 var (
--- a/process/router/peers.go
+++ b/process/router/peers.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/peer"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // open asks an engine's home for an answer: this router itself, or a peer.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -10,25 +10,26 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/callers"
+	"github.com/vanillaroute/vanillaroute/connection/gateway"
 	"github.com/vanillaroute/vanillaroute/connection/instances"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/connection/service"
-	"github.com/vanillaroute/vanillaroute/connection/store"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/metrics"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/home"
-	"github.com/vanillaroute/vanillaroute/process/limits"
-	"github.com/vanillaroute/vanillaroute/process/metrics"
 	"github.com/vanillaroute/vanillaroute/process/orders"
-	"github.com/vanillaroute/vanillaroute/process/pause"
-	"github.com/vanillaroute/vanillaroute/process/settings"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
 	"github.com/vanillaroute/vanillaroute/request/ledger"
+	"github.com/vanillaroute/vanillaroute/request/limits"
 	"github.com/vanillaroute/vanillaroute/request/relay"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/settings"
+	"github.com/vanillaroute/vanillaroute/store"
 	"github.com/vanillaroute/vanillaroute/version/config"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/sums"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
@@ -86,7 +87,7 @@
 	r := &Router{
 		settings: s, log: o.Log, self: s.Router.ID, incarnation: ident.Incarnation(now.UnixNano()),
 		config: config.New(), sums: sums.New(), suspects: suspects.New(), budget: budget.New(now), metrics: metrics.New(),
-		lender: limits.NewLender(), store: store.New(s.Platform.Store.String()),
+		lender: limits.NewLender(), store: gateway.New(s.Platform.Store.String()),
 		instances: instances.New(s.Platform.Instances.String()), services: service.New(),
 		wakeProbe: make(chan ident.Router, 64),
 	}
--- a/process/router/services.go
+++ b/process/router/services.go
@@ -8,11 +8,11 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/connection/service"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/request/ledger"
 	"github.com/vanillaroute/vanillaroute/version/rank"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 var errNoInstance = errors.New("no instance of the service is live")
--- a/process/router/tls.go
+++ b/process/router/tls.go
@@ -5,7 +5,7 @@
 	"crypto/x509"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 )
 
 // peerTLS returns the configuration by which only routers with a certificate of the authority may join, or nil without one.
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -44,6 +44,7 @@
 		policy Policy
 		model  ident.Model
 		list   List
+		expect Answer
 		http   *http.Client
 		stop   context.CancelFunc
 		tasks  sync.WaitGroup
@@ -57,11 +58,11 @@
 	}
 )
 
-// NewBaseline returns a target of a policy that follows the list and the engines' reports.
-func NewBaseline(policy Policy, model ident.Model, list List, seed uint64) (*Baseline, error) {
+// NewBaseline returns a target of a policy that follows the list and the engines' reports, with the answers that are expected.
+func NewBaseline(policy Policy, model ident.Model, list List, expect Answer, seed uint64) (*Baseline, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	b := &Baseline{
-		policy: policy, model: model, list: list, stop: stop, http: &http.Client{Transport: engine.NewTransport()},
+		policy: policy, model: model, list: list, expect: expect, stop: stop, http: &http.Client{Transport: engine.NewTransport()},
 		random: rand.New(rand.NewPCG(seed, 1)), loads: make(map[string]int),
 	}
 	if err := b.refresh(ctx); err != nil {
@@ -181,7 +182,7 @@
 			text.WriteString(content)
 		}
 	}
-	return whole(text.String(), messages, q.MaxTokens)
+	return whole(text.String(), b.expect(messages, q.MaxTokens))
 }
 
 func (b *Baseline) sendDesk(ctx context.Context, q Request) error {
--- a/replay/run.go
+++ b/replay/run.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/caller"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/standin/check"
 )
 
 const deskService ident.Service = "desk"
@@ -20,6 +19,9 @@
 		Send(ctx context.Context, q Request, first func()) error
 	}
 
+	// Answer returns the whole answer to a chat of some tokens.
+	Answer func(messages []caller.Message, tokens int) string
+
 	// Result is what became of a request; times count from when it was due.
 	Result struct {
 		Request    Request
@@ -31,6 +33,7 @@
 	// Routers is the target of a fleet of routers, one client for each organisation.
 	Routers struct {
 		model   ident.Model
+		expect  Answer
 		clients map[ident.Organisation]*caller.Client
 	}
 
@@ -43,9 +46,9 @@
 // Error names how much came, in bytes.
 func (e *CutError) Error() string { return "answer is not the whole one" }
 
-// NewRouters returns a target of routers at addresses, with each organisation's key.
-func NewRouters(model ident.Model, addresses []string, keys map[ident.Organisation]string) *Routers {
-	r := &Routers{model: model, clients: make(map[ident.Organisation]*caller.Client)}
+// NewRouters returns a target of routers at addresses, with each organisation's key and the answers that are expected.
+func NewRouters(model ident.Model, addresses []string, keys map[ident.Organisation]string, expect Answer) *Routers {
+	r := &Routers{model: model, expect: expect, clients: make(map[ident.Organisation]*caller.Client)}
 	for org, key := range keys {
 		r.clients[org] = caller.New(addresses, key)
 	}
@@ -87,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return whole(text, messages, q.MaxTokens)
+	return whole(text, r.expect(messages, q.MaxTokens))
 }
 
 // Run sends every request when it is due, whatever became of the earlier ones, and returns a result for each.
@@ -126,8 +129,8 @@
 	return errors.As(r.Err, &told) && told.Outcome == "notRun"
 }
 
-func whole(text string, messages []caller.Message, tokens int) error {
-	if want := check.Answer(messages, tokens); text != want {
+func whole(text, want string) error {
+	if text != want {
 		return &CutError{Got: len(text), Want: len(want)}
 	}
 	return nil
--- a/request/ledger/committer.go
+++ b/request/ledger/committer.go
@@ -7,8 +7,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/store"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/store"
 )
 
 const (
--- a/process/limits/shares.go
+++ b/request/limits/shares.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 	"golang.org/x/time/rate"
 )
 
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/peer"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/settings"
-	"github.com/vanillaroute/vanillaroute/process/suspects"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
+	"github.com/vanillaroute/vanillaroute/wire"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/process/pause"
+	"github.com/vanillaroute/vanillaroute/pause"
 )
 
 const (
--- a/request/relay/source.go
+++ b/request/relay/source.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/connection/peer"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/request/run"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/request/run/run.go
+++ b/request/run/run.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 type (
--- a/process/suspects/suspects.go
+++ b/request/suspects/suspects.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/process/settings/load.go
+++ b/settings/load.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 )
 
 const (
--- a/process/settings/settings.go
+++ b/settings/settings.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 )
 
 type (
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,9 +12,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/platform/standin"
-	"github.com/vanillaroute/vanillaroute/process/logs"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 )
--- a/standin/certificates/certificates.go
+++ b/standin/certificates/certificates.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/process/router"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 )
 
 const (
--- a/standin/embedded/embedded.go
+++ b/standin/embedded/embedded.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/router"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/standin/site"
 	"go.uber.org/zap"
 )
--- a/standin/measure/state.go
+++ b/standin/measure/state.go
@@ -7,12 +7,12 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/metrics"
+	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/version/config"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/standin/measure/traffic.go
+++ b/standin/measure/traffic.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
-	"github.com/vanillaroute/vanillaroute/process/settings"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/standin/embedded"
 	"github.com/vanillaroute/vanillaroute/standin/site"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/standin/site/describe.go
+++ b/standin/site/describe.go
@@ -12,10 +12,10 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/settings"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/standin/check"
 	"github.com/vanillaroute/vanillaroute/standin/service"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
--- /dev/null
+++ b/store/doc.go
@@ -0,0 +1,2 @@
+// Package store says what the routers use of a key-value service with leases and transactions.
+package store
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/version/lists"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/version/fleet/fleet.go
+++ b/version/fleet/fleet.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 const (
--- a/version/fleet/members.go
+++ b/version/fleet/members.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // States of a router in the order in which they override one another within an incarnation.
--- a/version/lists/lists.go
+++ b/version/lists/lists.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/process/tomlfile"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 )
 
 const (
--- a/version/sums/sums.go
+++ b/version/sums/sums.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/vanillaroute/vanillaroute/connection/wire"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/wire"
 )
 
 // Freshness is how long a router's report of its load counts.
