fix(home): a copy that finds the engine gone waits for the crash to be told

A copy handed over just before the first one's crash was noticed got no connection, counted as not run and went to the next engine in the usual order, a third one, while the first went to the one of suspects. Change: a request that finds the engine gone while a copy of it runs there is put back and waits with the held ones; the pause before the first resume is 50 ms again, since engines that crash together are not all gone at once.

--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -18,7 +18,8 @@
 type lostError struct{ cause error }
 
 const (
-	resumeTries   = 2
+	resumeTries = 2
+	// resumeSpacing also lets engines that crash together be gone before a request of one of them goes to another.
 	resumeSpacing = 50 * time.Millisecond
 	prioShort     = 10
 	prioLong      = 0
@@ -31,6 +32,9 @@
 	err := e.call(r)
 	e.set.point("lastToken", r.Submit.Request)
 	now := time.Now()
+	if e.hold(r, err, now) {
+		return
+	}
 	end := e.classify(r, err, now)
 	if err != nil && mayStillRun(err) && e.set.ctx.Err() == nil {
 		e.stop(r)
@@ -51,7 +55,7 @@
 		e.set.point("event", r.Submit.Request)
 	}
 	err := e.first(ctx, r, event)
-	for try := range resumeTries {
+	for range resumeTries {
 		var cut *engine.CutError
 		if !errors.As(err, &cut) || ctx.Err() != nil {
 			break
@@ -60,9 +64,7 @@
 		if !r.Submit.Stream {
 			break
 		}
-		if try > 0 {
-			pause.For(ctx, resumeSpacing)
-		}
+		pause.For(ctx, resumeSpacing)
 		err = asLost(e.client.Resume(ctx, r.Submit.Request, r.Next(), event))
 	}
 	if cause := context.Cause(ctx); cause != nil && err != nil {
@@ -153,6 +155,30 @@
 	}
 }
 
+// hold lets a request that found the engine gone wait where a copy of it runs there, which may be why; it reports whether it does.
+func (e *Engine) hold(r *run.Run, err error, now time.Time) bool {
+	var dial *engine.DialError
+	if !errors.As(err, &dial) || errors.As(err, new(*lostError)) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, ok := e.active[r]
+	if !ok {
+		return false
+	}
+	for other := range e.active {
+		if other != r && other.Fingerprint == r.Fingerprint {
+			delete(e.active, r)
+			e.held = append(e.held, a.item)
+			e.set.fleet.EngineDown(e.id, now)
+			e.dispatch(now)
+			return true
+		}
+	}
+	return false
+}
+
 // classify turns the error of an attempt into what the entry is told.
 func (e *Engine) classify(r *run.Run, err error, now time.Time) wire.End {
 	if err == nil {
--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -180,3 +180,23 @@
 		t.Errorf("a request that came after the crash is blamed for %v", blamed)
 	}
 }
+
+// TestCopyThatFindsTheEngineGoneWaits sends a copy to an engine that is gone, before the first request has noticed.
+func TestCopyThatFindsTheEngineGoneWaits(t *testing.T) {
+	e := newScriptedEngine(t, "first")
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	first := submit(t, s, "first", "poison")
+	await(t, e.begun, "first")
+	s.transport.(*http.Transport).CloseIdleConnections()
+	if err := e.server.Listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	copied := submit(t, s, "copy", "poison")
+	time.Sleep(50 * time.Millisecond)
+	close(e.cut["first"])
+	for _, r := range []*run.Run{first, copied} {
+		if refusal := refusalOfRun(t, r); len(refusal.Crashed) != 1 || refusal.Crashed[0] != testEngine {
+			t.Errorf("%s: %+v does not tell of the crash", r.Submit.Request, *refusal)
+		}
+	}
+}
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -59,6 +59,7 @@
 
 	// attempt is a run that the engine holds a slot for.
 	attempt struct {
+		item    queue.Item[*run.Run]
 		long    bool
 		started time.Time
 		last    time.Time
@@ -109,7 +110,7 @@
 		}
 		delete(e.patient, item.Value)
 		e.set.metrics.QueueTime(item.Organisation, item.Value.Submit.Class, now.Sub(item.Queued))
-		e.active[item.Value] = &attempt{long: item.Long, started: now, last: now}
+		e.active[item.Value] = &attempt{item: item, long: item.Long, started: now, last: now}
 		e.count()
 		e.set.tasks.Go(func() { e.run(item.Value) })
 	}
