perf(logs): lines that wait are written at once

Cause: each line was a write of its own. Ruled out as the larger part: encoding (3.9 us a line with it). Change: the writer takes what waits, up to 64 KB, in one write.

--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -27,6 +27,8 @@
 	successReserve = 0.5
 	// countPeriod is the pause between two counts of lines left out.
 	countPeriod = 5 * time.Second
+	// maxBatch is how many bytes are written at once, as many as a pipe holds.
+	maxBatch = 64 << 10
 	// queued is how many lines may wait for a reader of standard output.
 	queued = 512
 )
@@ -117,13 +119,27 @@
 	}
 }
 
+// write writes lines, as many at once as wait.
 func (b *Bounded) write() {
+	var batch []byte
 	for line := range b.lines {
-		if _, err := b.out.Write(line.Bytes()); err != nil {
-			b.unread.Add(1)
-		}
+		batch = append(batch[:0], line.Bytes()...)
 		line.Free()
-		b.waiting.Add(-1)
+		count := int64(1)
+		for waiting := true; waiting && len(batch) < maxBatch; {
+			select {
+			case line = <-b.lines:
+				batch = append(batch, line.Bytes()...)
+				line.Free()
+				count++
+			default:
+				waiting = false
+			}
+		}
+		if _, err := b.out.Write(batch); err != nil {
+			b.unread.Add(count)
+		}
+		b.waiting.Add(-count)
 	}
 }
 
