fix(home): a request that came after the cut is not blamed for the crash

Ruled out: the late word of a crash, a request really present at two crashes (it began at the second after its cut). Change: those are blamed that were there when the connection of the first that tells of the crash broke. Before: TestRequestThatCameAfterTheCutIsNotBlamed fails; after: it passes.

--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -60,7 +60,7 @@
 		if !errors.As(err, &cut) || ctx.Err() != nil {
 			break
 		}
-		e.noteCut(r)
+		e.noteCut(r, time.Now())
 		if !r.Submit.Stream {
 			break
 		}
@@ -147,11 +147,11 @@
 }
 
 // noteCut notes that the answer broke off, which may be since the engine crashed.
-func (e *Engine) noteCut(r *run.Run) {
+func (e *Engine) noteCut(r *run.Run, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a, ok := e.active[r]; ok {
-		a.cut = true
+		a.cut, a.cutAt = true, now
 	}
 }
 
@@ -214,11 +214,19 @@
 }
 
 // crashed makes suspects of all that ran on an engine that is gone, or has forgotten what it ran. Requests of one crash
-// learn of it one by one: only the first counts, since others may have come to the engine after it.
+// learn of it one by one: only the first counts, for those that were there when its connection broke, since others may have
+// come to the engine after the crash.
 func (e *Engine) crashed(r *run.Run, now time.Time) wire.End {
 	e.mu.Lock()
 	if own, ok := e.active[r]; ok && !own.blamed {
+		moment := own.cutAt
+		if !own.cut {
+			moment = now
+		}
 		for other, a := range e.active {
+			if a.started.After(moment) {
+				continue
+			}
 			a.blamed = true
 			e.set.suspects.Crashed(other.Fingerprint, e.id, now)
 		}
--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// TestRequestThatCameAfterTheCutIsNotBlamed hands the engine a request between the first's cut and the word that it crashed.
+func TestRequestThatCameAfterTheCutIsNotBlamed(t *testing.T) {
+	e := newScriptedEngine(t, "first", "later")
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	first := submit(t, s, "first", "poison")
+	await(t, e.begun, "first")
+	close(e.cut["first"])
+	await(t, e.asked, "first")
+	later := submit(t, s, "later", "ordinary")
+	await(t, e.begun, "later")
+	close(e.forgotten)
+	if refusal := refusalOfRun(t, first); len(refusal.Crashed) != 1 {
+		t.Errorf("%+v does not tell of the crash", *refusal)
+	}
+	if blamed := s.suspects.Engines(later.Fingerprint); len(blamed) != 0 {
+		t.Errorf("the later one is blamed for %v", blamed)
+	}
+}
+
 // TestCopyThatFindsTheEngineGoneWaits sends a copy to an engine that is gone, before the first request has noticed.
 func TestCopyThatFindsTheEngineGoneWaits(t *testing.T) {
 	e := newScriptedEngine(t, "first")
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -63,8 +63,9 @@
 		long    bool
 		started time.Time
 		last    time.Time
-		// cut says that the connection ended early, and nothing came since.
-		cut bool
+		// cut says that the connection ended early, and nothing came since; cutAt is when it did last.
+		cut   bool
+		cutAt time.Time
 		// blamed says that the request counts as one that crashed this engine already.
 		blamed bool
 	}
