--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -33,6 +33,10 @@
 	configKey  = "configuration"
 	// brokenValue is what another writer left in an entry.
 	brokenValue = "{"
+	// drainingMark stands before the address of an engine that takes no new requests.
+	drainingMark = "draining "
+	// drainBound is the users' time from the store's word that an engine drains to the last request that may reach it.
+	drainBound = 3 * time.Second
 	// firstNet and firstPort give every instance loopback addresses of its own, with the same ports as on the platform.
 	firstNet  = 100
 	firstPort = 7001
@@ -88,7 +92,8 @@
 	if string(value) == brokenValue {
 		return engines.Engine{}, errors.New("broken")
 	}
-	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: string(value)}, nil
+	address, draining := strings.CutPrefix(string(value), drainingMark)
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Draining: draining}, nil
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -390,6 +395,46 @@
 	}
 }
 
+// TestDrainingEngineGetsNothingNewFromAnyInstance has every instance send all the time, while one of two engines begins to drain.
+func TestDrainingEngineGetsNothingNewFromAnyInstance(t *testing.T) {
+	t.Parallel()
+	const size = 9
+	f := newFleet(t, size)
+	var last atomic.Int64
+	var runs atomic.Int32
+	leaving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		last.Store(time.Now().UnixNano())
+		runs.Add(1)
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		w.Header().Set("X-Seal", "seal")
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer leaving.Close()
+	address := strings.TrimPrefix(leaving.URL, "http://")
+	f.store.Put("engines/e2", []byte(address))
+	ctx, stop := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer stop()
+	for i := range size {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if got := f.ask(i, oneKey, "/p/x"); got != http.StatusOK {
+					t.Errorf("instance %d answers %d", i, got)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	f.eventually(func() bool { return runs.Load() > 5*size }, "the engine gets nothing at all")
+	f.store.Put("engines/e2", []byte(drainingMark+address))
+	told := time.Now()
+	time.Sleep(drainBound + time.Second)
+	if late := time.Unix(0, last.Load()).Sub(told); late > drainBound {
+		t.Errorf("a request reached the engine %s after it began to drain", late)
+	}
+}
+
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
