feat(entry): a starting instance asks four others at once

Cause: one that is to wait for a replica heard of others with its first round of heartbeats only, 250 ms after its start. Change: it asks as soon as it has the list of registered instances; whoever has a replica answers, and is fetched from.

--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/process/readers"
 	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
@@ -28,6 +29,8 @@
 	checkPeriod = 100 * time.Millisecond
 	// pagesLife is how long the pages of a read of everything are kept for its next one: half of the history that a store keeps.
 	pagesLife = 10 * time.Second
+	// startAsks is how many instances a starting one asks at once, of which most are alive unless all have just started.
+	startAsks = 4
 	// registrationLife is how long an instance stays registered after its end, and renewPeriod how often it renews.
 	registrationLife = 30 * time.Second
 	renewPeriod      = 10 * time.Second
@@ -155,6 +158,9 @@
 		more = page.More
 	}
 	r.peers, r.listed = peers, true
+	for _, m := range n.pick(startAsks) {
+		n.send(m.Peer, n.ask(), budget.Urgent)
+	}
 	return nil
 }
 
