--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -146,7 +145,7 @@
 			return
 		}
 		if _, err := wire.Decode[Message](Encode(m)); err != nil {
-			t.Fatal(fmt.Sprintf("%+v cannot be decoded again: %v", m, err))
+			t.Fatalf("%+v cannot be decoded again: %v", m, err)
 		}
 	})
 }
--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -206,7 +206,7 @@
 	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
 	first := submit(t, s, "first", "poison")
 	await(t, e.begun, "first")
-	s.transport.(*http.Transport).CloseIdleConnections()
+	(&http.Client{Transport: s.transport}).CloseIdleConnections()
 	if err := e.server.Listener.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/capacity/compute.go
+++ b/standin/capacity/compute.go
@@ -187,7 +187,7 @@
 	grant := float64(len(wire.Encode(wire.Reply{Share: &wire.ShareGrant{Requests: 12.5, Tokens: 900.25, Concurrency: 12, Valid: time.Second}})) + wire.HeaderBytes)
 	sent := pairs * (ask + grant) / renewalSeconds
 	w.sent += sent
-	w.add("Lender of limits", "an organisation's home router lends shares by demand for 5 s, renewed every 2 s; an organisation enters by four routers (process/limits, connection/callers/addresses.go)",
+	w.add("Lender of limits", "an organisation's home router lends shares by demand for 5 s, renewed every 2 s; an organisation enters by four routers (request/limits, connection/callers/addresses.go)",
 		Row{"organisations, one lender", t.Organisations / t.Routers, "", "organisations / routers"},
 		Row{"shares held by one router", pairs, "", "organisations × 4 / routers"},
 		Row{"asked and granted, one router", sent, "bytes/s", "shares × encoded ask and grant / 2 s"},
