fix: a connection without a request holds no planned stop

Ruled out: requests in progress (none in that cell's router), the store (not used by a stop). Change: those connections are known, and closed before Shutdown; no request was read from them, so that none is lost.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -395,6 +396,24 @@
 	}
 }
 
+// TestUnusedConnectionHoldsNoStop opens a connection without a request, and stops the instance.
+func TestUnusedConnectionHoldsNoStop(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	conn, err := net.Dial("tcp", f.nodes[0].settings.Instance.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	f.halt(0)
+	// The linger is three validities of 200 ms; the platform kills after 5 s.
+	if took := time.Since(began); took > 2500*time.Millisecond {
+		t.Errorf("the stop took %s", took)
+	}
+}
+
 // TestDrainingEngineGetsNothingNewFromAnyInstance has every instance send all the time, while one of two engines begins to drain.
 func TestDrainingEngineGetsNothingNewFromAnyInstance(t *testing.T) {
 	t.Parallel()
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
+	"github.com/vanillaroute/vanillaroute/connection/unused"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/metrics"
@@ -166,8 +167,13 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(work)
+	fresh, idle := unused.New(), newIdleConns(n.idleLimit)
 	callers := &http.Server{
-		Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.log), ConnState: newIdleConns(n.idleLimit).changed,
+		Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.log),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			fresh.Changed(c, state)
+			idle.changed(c, state)
+		},
 	}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
 	directory := &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
@@ -197,7 +203,7 @@
 	n.log.Info("started", zap.String("peer", n.self), zap.String("failureDomain", string(s.Instance.FailureDomain)), zap.Bool("firstStart", s.Instance.FirstStart))
 	select {
 	case <-ctx.Done():
-		n.shutDown(work, callers)
+		n.shutDown(work, callers, fresh)
 	case <-groupCtx.Done():
 	}
 	stop()
@@ -240,7 +246,7 @@
 }
 
 // shutDown leaves the address answers, serves on while callers may still come, and finishes what is in progress.
-func (n *Instance) shutDown(ctx context.Context, callers *http.Server) {
+func (n *Instance) shutDown(ctx context.Context, callers *http.Server, fresh *unused.Conns) {
 	s := n.settings.Load()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
@@ -248,6 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Bounds.Shutdown.Std()-stopMargin)
 	defer cancel()
 	pause.For(ctx, lingerFactor*min(addressValidity, s.Bounds.MaxAddressValidity.Std()))
+	fresh.Close()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut at shutdown", zap.Error(err))
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/instances"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/connection/service"
+	"github.com/vanillaroute/vanillaroute/connection/unused"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/pause"
@@ -138,6 +139,8 @@
 func (r *Router) Run(ctx context.Context) error {
 	server := callers.New(r.callerParts()).HTTP()
 	server.ErrorLog = zap.NewStdLog(r.log)
+	fresh := unused.New()
+	server.ConnState = fresh.Changed
 	group, groupCtx := errgroup.WithContext(r.work)
 	group.Go(func() error { return peer.Serve(groupCtx, r.peersLn, r.identity, r.servePeer) })
 	group.Go(func() error { return ignoreClosed(server.Serve(r.callersLn)) })
@@ -149,7 +152,7 @@
 	group.Go(func() error { return r.keepTime(groupCtx) })
 	select {
 	case <-ctx.Done():
-		r.shutDown(server)
+		r.shutDown(server, fresh)
 	case <-groupCtx.Done():
 	}
 	r.stopWork()
@@ -206,7 +209,7 @@
 }
 
 // shutDown tells the fleet, serves on while callers may still hold this address, and then finishes what is in progress.
-func (r *Router) shutDown(server *http.Server) {
+func (r *Router) shutDown(server *http.Server, fresh *unused.Conns) {
 	r.log.Info("leaving")
 	r.leaving.Store(true)
 	r.fleet.Leave(time.Now())
@@ -214,6 +217,7 @@
 	ctx, cancel := context.WithTimeout(r.work, r.settings.Routing.GracefulShutdown.Std())
 	defer cancel()
 	pause.For(ctx, r.settings.Routing.AddressValidity.Std())
+	fresh.Close()
 	if err := server.Shutdown(ctx); err != nil {
 		r.log.Warn("requests cut at shutdown", zap.Error(err))
 	}
--- a/process/router/router_test.go
+++ b/process/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -255,3 +256,23 @@
 		})
 	}
 }
+
+// TestUnusedConnectionHoldsNoStop opens a connection without a request, and stops the router.
+func TestUnusedConnectionHoldsNoStop(t *testing.T) {
+	d := deploy(t, embedded.Options{})
+	node := d.Nodes()[0]
+	conn, err := net.Dial("tcp", node.Settings.Router.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	node.Stop()
+	if err := node.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if took, most := time.Since(began), node.Settings.Routing.AddressValidity.Std()+2*time.Second; took > most {
+		t.Errorf("the stop took %s, want %s at most", took, most)
+	}
+}
