fix(entry): engines are divided among all known instances while few were heard of

Cause: where all instances start at once, each asks the engines of which it is the first among those that it has heard of. Ruled out: questions put again (one an instance and engine). Change: with fewer than half heard of, the engines are divided among all known instances, which the store lists.

--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -7,6 +7,7 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/process/readers"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/rank"
@@ -70,16 +71,25 @@
 	return true
 }
 
-// listEngines asks those engines for which this instance is the first of all living ones.
+// listEngines asks those engines for which this instance is the first of those that divide them.
 func (n *Instance) listEngines(ctx context.Context) {
-	living := []rank.Member{{Name: n.self, Weight: 1}}
-	for _, m := range n.members.Alive(boottime.Now()) {
-		living = append(living, rank.Member{Name: m.Peer, Weight: 1})
+	now := boottime.Now()
+	heard, known := []string{n.self}, []string{n.self}
+	for _, m := range n.members.Alive(now) {
+		heard = append(heard, m.Peer)
+	}
+	for _, m := range n.members.All(now) {
+		known = append(known, m.Peer)
+	}
+	shares := readers.Shares(heard, known)
+	sharers := make([]rank.Member, len(shares))
+	for i, peer := range shares {
+		sharers[i] = rank.Member{Name: peer, Weight: 1}
 	}
 	w := n.world.Load()
 	for _, s := range w.configuration.PromptServices() {
 		for _, e := range w.engines.Of(s) {
-			if rank.Best(string(e.ID), living) == 0 {
+			if rank.Best(string(e.ID), sharers) == 0 {
 				n.listEngine(ctx, e)
 			}
 		}
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -104,3 +104,12 @@
 func share(step time.Duration, instances int) float64 {
 	return float64(step) / float64(helpEvery*time.Duration(max(instances, 1)))
 }
+
+// Shares returns the instances among which work of a common start is divided, so that each piece is done by one: those heard
+// of, or all known ones while fewer than half of them were heard of, since views that small would overlap.
+func Shares(heard, known []string) []string {
+	if 2*len(heard) < len(known) {
+		return known
+	}
+	return heard
+}
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/version/rank"
 )
 
 var schedule = NewSchedule(3 * time.Second)
@@ -117,3 +118,40 @@
 		t.Fatalf("it reads after %s", waited)
 	}
 }
+
+// TestSharesOfACommonStart has instances that have heard of a part of the others divide the engines among themselves.
+func TestSharesOfACommonStart(t *testing.T) {
+	const engineCount, most = 60, 2.4
+	for _, part := range []float64{0.02, 0.15, 0.4, 0.6, 1} {
+		for _, size := range []int{9, 89, 282} {
+			t.Run(fmt.Sprintf("%d instances, %v heard of", size, part), func(t *testing.T) {
+				draws := rand.New(rand.NewPCG(1, uint64(size)))
+				var known []string
+				for _, i := range fleet(size, 4) {
+					known = append(known, i.Peer)
+				}
+				asked := 0
+				for _, self := range known {
+					heard := []string{self}
+					for _, other := range known {
+						if other != self && draws.Float64() < part {
+							heard = append(heard, other)
+						}
+					}
+					var members []rank.Member
+					for _, m := range Shares(heard, known) {
+						members = append(members, rank.Member{Name: m, Weight: 1})
+					}
+					for e := range engineCount {
+						if i := rank.Best(fmt.Sprint("engine-", e), members); members[i].Name == self {
+							asked++
+						}
+					}
+				}
+				if each := float64(asked) / engineCount; each < 1 || each > most {
+					t.Fatalf("each engine is asked %.1f times", each)
+				}
+			})
+		}
+	}
+}
