--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -49,6 +49,8 @@
 	revision ident.Revision
 	// compacted says that everything is to be read though there is a replica, since the store dropped its history.
 	compacted bool
+	// chosen says that this instance is one of the readers, as far as it knows.
+	chosen bool
 }
 
 // readStore reads the store while this instance is to do so for all.
@@ -102,7 +104,11 @@
 			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
 		}
 	}
-	return readers.Chosen(n.self, all) || n.schedule().Helps(age, checkPeriod, len(alive)+1, rand.Float64())
+	if chosen := readers.Chosen(n.self, all); chosen != r.chosen {
+		r.chosen = chosen
+		n.log.Info("store reader", zap.Bool("chosen", chosen), zap.Int("candidates", len(all)))
+	}
+	return r.chosen || n.schedule().Helps(age, checkPeriod, len(alive)+1, rand.Float64())
 }
 
 // readOnce brings the replica nearer to the store by one call: a watch where there is a replica, and otherwise the list of
