--- a/process/entry/warm.go
+++ b/process/entry/warm.go
@@ -81,11 +81,7 @@
 	for _, m := range n.members.All(now) {
 		known = append(known, m.Peer)
 	}
-	shares := readers.Shares(heard, known)
-	sharers := make([]rank.Member, len(shares))
-	for i, peer := range shares {
-		sharers[i] = rank.Member{Name: peer, Weight: 1}
-	}
+	sharers := rank.Equal(readers.Shares(heard, known), func(peer string) string { return peer })
 	w := n.world.Load()
 	for _, s := range w.configuration.PromptServices() {
 		for _, e := range w.engines.Of(s) {
--- a/process/orders/plan.go
+++ b/process/orders/plan.go
@@ -49,10 +49,7 @@
 
 // place chooses the engine for a model: one with room before one that gives up a model which others hold.
 func place(m ident.Model, engines []fleet.Instance, holders map[ident.Model]int, taken map[string]bool) (Order, bool) {
-	members := make([]rank.Member, len(engines))
-	for i, e := range engines {
-		members[i] = rank.Member{Name: e.ID, Weight: 1}
-	}
+	members := rank.Equal(engines, func(i fleet.Instance) string { return i.ID })
 	order := rank.Order("orders\x00"+string(m), members, len(members))
 	for _, i := range order {
 		if e := engines[i]; usable(e, taken) && len(e.Models) < room(e) {
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -55,10 +55,7 @@
 
 // Chosen reports whether an instance is one of the readers: the first of the instances by a hash, each of a failure domain of its own while there are enough.
 func Chosen(self string, all []Instance) bool {
-	candidates := make([]rank.Member, len(all))
-	for i, c := range all {
-		candidates[i] = rank.Member{Name: c.Peer, Weight: 1}
-	}
+	candidates := rank.Equal(all, func(c Instance) string { return c.Peer })
 	order := rank.Order(rankKey, candidates, len(candidates))
 	taken := make(map[ident.Domain]bool)
 	var chosen []string
@@ -78,21 +75,12 @@
 // Starts reports whether a starting instance reads everything itself, rather than wait for a replica from another; listed
 // are the other instances that may start too, waited is how long this one has, and alive how many it hears of.
 func Starts(self string, listed []string, waited, step time.Duration, alive int, draw float64) bool {
-	candidates := []rank.Member{{Name: self, Weight: 1}}
-	for _, peer := range listed {
-		if peer != self {
-			candidates = append(candidates, rank.Member{Name: peer, Weight: 1})
-		}
-	}
-	if len(candidates) <= startCount {
+	all := append([]string{self}, slices.DeleteFunc(slices.Clone(listed), func(peer string) bool { return peer == self })...)
+	if len(all) <= startCount {
 		return true
 	}
-	for _, i := range rank.Order(rankKey, candidates, startCount) {
-		if candidates[i].Name == self {
-			return true
-		}
-	}
-	return waited >= startPatience && draw < share(step, alive)
+	candidates := rank.Equal(all, func(peer string) string { return peer })
+	return slices.Contains(rank.Order(rankKey, candidates, startCount), 0) || (waited >= startPatience && draw < share(step, alive))
 }
 
 // Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; it is asked every step, with a random number from 0 to 1.
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -138,10 +138,7 @@
 							heard = append(heard, other)
 						}
 					}
-					var members []rank.Member
-					for _, m := range Shares(heard, known) {
-						members = append(members, rank.Member{Name: m, Weight: 1})
-					}
+					members := rank.Equal(Shares(heard, known), func(peer string) string { return peer })
 					for e := range engineCount {
 						if i := rank.Best(fmt.Sprint("engine-", e), members); members[i].Name == self {
 							asked++
--- a/process/router/services.go
+++ b/process/router/services.go
@@ -11,6 +11,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/request/ledger"
+	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/rank"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
@@ -49,10 +50,7 @@
 	if ledger.IsMinted(call.Key) {
 		return ledger.MintedBy(call.Key)
 	}
-	var members []rank.Member
-	for _, i := range r.fleet.View().RoutersFor("ledger", ledgerHomes) {
-		members = append(members, rank.Member{Name: i.ID, Weight: 1})
-	}
+	members := rank.Equal(r.fleet.View().RoutersFor("ledger", ledgerHomes), func(i fleet.Instance) string { return i.ID })
 	best := rank.Best(string(call.Organisation)+"\x00"+call.Key, members)
 	if best < 0 {
 		return r.self
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -127,10 +127,7 @@
 		}
 		return x
 	case Rendezvous:
-		members := make([]rank.Member, n)
-		for i, e := range b.engines {
-			members[i] = rank.Member{Name: e.ID, Weight: 1}
-		}
+		members := rank.Equal(b.engines, func(i fleet.Instance) string { return i.ID })
 		order := rank.Order(string(q.Chat), members, try+1)
 		return b.engines[order[min(try, len(order)-1)]].Address
 	default:
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -299,10 +299,7 @@
 		return make([]int, len(list))
 	}
 	key := strconv.FormatUint(uint64(parts[len(parts)-2].ID), 16)
-	candidates := make([]rank.Member, len(list))
-	for i, e := range list {
-		candidates[i] = rank.Member{Name: string(e.ID), Weight: 1}
-	}
+	candidates := rank.Equal(list, func(e engines.Engine) string { return string(e.ID) })
 	order := make([]int, len(list))
 	for place, i := range rank.Order(key, candidates, len(candidates)) {
 		order[i] = place
--- a/version/rank/rank.go
+++ b/version/rank/rank.go
@@ -16,6 +16,15 @@
 	Weight float64
 }
 
+// Equal returns a member of weight 1 for each item, in the same order.
+func Equal[T any](items []T, name func(T) string) []Member {
+	members := make([]Member, len(items))
+	for i, item := range items {
+		members[i] = Member{Name: name(item), Weight: 1}
+	}
+	return members
+}
+
 // Order returns the indexes of the best members for the key, best first, at most limit of them.
 func Order(key string, members []Member, limit int) []int {
 	type scored struct {
