refactor(home): one look for copies of a body, one field for a cut

Three loops over the active requests looked for copies of a body, and a flag said what the time of the cut says already. The tests of the package pass as they were, with the race detector.

--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -133,8 +133,8 @@
 	if !ok {
 		return
 	}
-	if a.cut {
-		a.cut = false
+	if !a.cutAt.IsZero() {
+		a.cutAt = time.Time{}
 		e.dispatch(now)
 	}
 	first := a.last.Equal(a.started)
@@ -151,7 +151,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a, ok := e.active[r]; ok {
-		a.cut, a.cutAt = true, now
+		a.cutAt = now
 	}
 }
 
@@ -164,19 +164,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a, ok := e.active[r]
-	if !ok {
+	if !ok || !e.hasCopy(r.Fingerprint, func(other *run.Run, _ *attempt) bool { return other != r }) {
 		return false
 	}
-	for other := range e.active {
-		if other != r && other.Fingerprint == r.Fingerprint {
-			delete(e.active, r)
-			e.held = append(e.held, a.item)
-			e.set.fleet.EngineDown(e.id, now)
-			e.dispatch(now)
-			return true
-		}
-	}
-	return false
+	delete(e.active, r)
+	e.held = append(e.held, a.item)
+	e.set.fleet.EngineDown(e.id, now)
+	e.dispatch(now)
+	return true
 }
 
 // classify turns the error of an attempt into what the entry is told.
@@ -220,7 +215,7 @@
 	e.mu.Lock()
 	if own, ok := e.active[r]; ok && !own.blamed {
 		moment := own.cutAt
-		if !own.cut {
+		if moment.IsZero() {
 			moment = now
 		}
 		for other, a := range e.active {
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -63,8 +63,7 @@
 		long    bool
 		started time.Time
 		last    time.Time
-		// cut says that the connection ended early, and nothing came since; cutAt is when it did last.
-		cut   bool
+		// cutAt is when the connection ended early, or zero where it did not or something came since.
 		cutAt time.Time
 		// blamed says that the request counts as one that crashed this engine already.
 		blamed bool
@@ -130,8 +129,13 @@
 
 // unexplained reports whether a copy of the body has lost its answer, or its engine, and it is not known yet why.
 func (e *Engine) unexplained(fingerprint uint64, now time.Time) bool {
+	return e.hasCopy(fingerprint, func(_ *run.Run, a *attempt) bool { return !a.cutAt.IsZero() || e.set.fleet.IsDown(e.id, now) })
+}
+
+// hasCopy reports whether a request of the same body runs here that matches.
+func (e *Engine) hasCopy(fingerprint uint64, match func(*run.Run, *attempt) bool) bool {
 	for r, a := range e.active {
-		if r.Fingerprint == fingerprint && (a.cut || e.set.fleet.IsDown(e.id, now)) {
+		if r.Fingerprint == fingerprint && match(r, a) {
 			return true
 		}
 	}
@@ -218,15 +222,7 @@
 
 // untried reports whether a copy of the body runs here and none has ended well yet, so that it may be what crashes engines.
 func (e *Engine) untried(fingerprint uint64) bool {
-	if e.set.answered.Contains(fingerprint) {
-		return false
-	}
-	for r := range e.active {
-		if r.Fingerprint == fingerprint {
-			return true
-		}
-	}
-	return false
+	return !e.set.answered.Contains(fingerprint) && e.hasCopy(fingerprint, func(*run.Run, *attempt) bool { return true })
 }
 
 // applyReport takes the engine's own report.
