--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -86,21 +86,18 @@
 		case <-ticker.C:
 		}
 		data, err := os.ReadFile(filepath.Clean(file))
-		if err == nil && bytes.Equal(data, last) && !told {
+		if !told && bytes.Equal(data, last) {
 			continue
 		}
+		last = data
 		var fresh entry.Settings
 		if err == nil {
 			fresh, err = entry.Parse(file, data)
 		}
 		if err != nil {
-			if told || !bytes.Equal(data, last) {
-				log.Warn("settings not reloaded", zap.Error(err))
-			}
-			last = data
+			log.Warn("settings not reloaded", zap.Error(err))
 			continue
 		}
-		last = data
 		reload(fresh)
 	}
 }
