--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -42,9 +42,8 @@
 	// peers are the registered instances, once listed.
 	peers  []string
 	listed bool
-	// entries were read up to the key after, the first page at a time and revision from which changes are followed then.
+	// entries are the pages read so far, the first at a time and revision from which changes are followed then.
 	entries  []mirror.Entry
-	after    string
 	proven   boottime.Instant
 	revision ident.Revision
 	// compacted says that everything is to be read though there is a replica, since the store dropped its history.
@@ -121,7 +120,7 @@
 		return n.listPeers(ctx, r)
 	}
 	if loaded && !r.compacted {
-		r.entries, r.after = nil, ""
+		r.entries = nil
 		wait := n.schedule().Watch
 		if n.proofAge(sent) > 2*wait {
 			wait = time.Millisecond
@@ -174,24 +173,27 @@
 func (n *Instance) readPage(ctx context.Context, r *reading) error {
 	sent := boottime.Now()
 	if sent.Sub(r.proven) > pagesLife {
-		r.entries, r.after = nil, ""
+		r.entries = nil
+	}
+	after := ""
+	if count := len(r.entries); count > 0 {
+		after = r.entries[count-1].Key
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	page, err := n.platform.Store.Read(ctx, "", r.after)
+	page, err := n.platform.Store.Read(ctx, "", after)
 	if err != nil {
 		return err
 	}
-	if r.after == "" {
+	if after == "" {
 		r.proven, r.revision = sent, page.Revision
 	}
 	r.entries = append(r.entries, page.Entries...)
 	if page.More {
-		r.after = r.entries[len(r.entries)-1].Key
 		return nil
 	}
 	n.news(mirror.Delta{Full: true, Entries: r.entries, Revision: r.revision}, r.proven)
-	r.entries, r.after, r.compacted = nil, "", false
+	r.entries, r.compacted = nil, false
 	return nil
 }
 
