refactor(metrics): one bounded map of series

The router's and the entry instance's metrics each kept their series within MaxSeries, the rest together, by code of their own. TestSeriesAreBounded passes as it was.

--- a/metrics/latency.go
+++ b/metrics/latency.go
@@ -25,7 +25,7 @@
 	Text struct {
 		mu        sync.Mutex
 		counters  expvar.Map
-		latencies map[seriesKey]*latency
+		latencies bounded[latency]
 		gauges    map[string]func() float64
 	}
 
@@ -38,7 +38,7 @@
 
 // NewText returns metrics without series.
 func NewText() *Text {
-	t := &Text{latencies: make(map[seriesKey]*latency), gauges: make(map[string]func() float64)}
+	t := &Text{latencies: make(bounded[latency]), gauges: make(map[string]func() float64)}
 	t.counters.Init()
 	return t
 }
@@ -56,16 +56,7 @@
 // Observe records how long a request took.
 func (t *Text) Observe(org ident.Organisation, class ident.Class, took time.Duration) {
 	t.mu.Lock()
-	key := seriesKey{org, class}
-	l, ok := t.latencies[key]
-	if !ok && len(t.latencies) >= MaxSeries-1 {
-		key = seriesKey{overflow, overflow}
-		l, ok = t.latencies[key]
-	}
-	if !ok {
-		l = &latency{buckets: make([]atomic.Int64, len(latencyBounds)+1)}
-		t.latencies[key] = l
-	}
+	l := t.latencies.of(seriesKey{org, class}, func() *latency { return &latency{buckets: make([]atomic.Int64, len(latencyBounds)+1)} })
 	t.mu.Unlock()
 	at, _ := slices.BinarySearch(latencyBounds, took)
 	l.buckets[at].Add(1)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -24,7 +24,7 @@
 	// Metrics are the histograms and counters of one router.
 	Metrics struct {
 		mu       sync.Mutex
-		series   map[seriesKey]*series
+		series   bounded[series]
 		counters expvar.Map
 	}
 
@@ -53,6 +53,9 @@
 		class ident.Class
 	}
 
+	// bounded holds a value for each of at most MaxSeries pairs; the pairs over that share one.
+	bounded[V any] map[seriesKey]*V
+
 	series struct {
 		mu                                     sync.Mutex
 		queueTime, firstToken, tokenGap, total *hdrhistogram.Histogram
@@ -61,7 +64,7 @@
 
 // New returns metrics without series.
 func New() *Metrics {
-	m := &Metrics{series: make(map[seriesKey]*series)}
+	m := &Metrics{series: make(bounded[series])}
 	m.counters.Init()
 	return m
 }
@@ -130,19 +133,23 @@
 func (m *Metrics) of(org ident.Organisation, class ident.Class) *series {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := seriesKey{org, class}
-	if s, ok := m.series[key]; ok {
-		return s
-	}
-	if len(m.series) >= MaxSeries-1 {
+	return m.series.of(seriesKey{org, class}, func() *series {
+		return &series{queueTime: histogram(), firstToken: histogram(), tokenGap: histogram(), total: histogram()}
+	})
+}
+
+// of returns the value of a pair, a new one where it has none yet.
+func (b bounded[V]) of(key seriesKey, fresh func() *V) *V {
+	v, ok := b[key]
+	if !ok && len(b) >= MaxSeries-1 {
 		key = seriesKey{overflow, overflow}
-		if s, ok := m.series[key]; ok {
-			return s
-		}
+		v, ok = b[key]
+	}
+	if !ok {
+		v = fresh()
+		b[key] = v
 	}
-	s := &series{queueTime: histogram(), firstToken: histogram(), tokenGap: histogram(), total: histogram()}
-	m.series[key] = s
-	return s
+	return v
 }
 
 func (s *series) record(pick func(*series) *hdrhistogram.Histogram, d time.Duration) {
