--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/logs"
+	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/platform/standin"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
@@ -36,6 +37,9 @@
 	faultPause = 400 * time.Millisecond
 	faultTime  = time.Second
 	startTime  = 10 * time.Second
+	// settleTime lets requests from before the recovery end, and judgedTime is how long those after it are judged.
+	settleTime = time.Second
+	judgedTime = 2 * time.Second
 	// netsOfSeeds is how many runs can use loopback addresses of their own at once.
 	firstNet, netsOfSeeds = 150, 100
 )
@@ -273,11 +277,9 @@
 	if err := r.allReady(recoveryTime); err != nil {
 		return &BrokenError{Promise: "recovery", Detail: err.Error(), Seed: r.Seed}
 	}
-	time.Sleep(time.Second)
+	pause.For(ctx, settleTime)
 	began := time.Now()
-	select {
-	case <-time.After(2 * time.Second):
-	case <-ctx.Done():
+	if !pause.For(ctx, judgedTime) {
 		return ctx.Err()
 	}
 	for _, c := range r.callers.since(began) {
