refactor(placing): what engines hold of a prompt is found in one walk

longest and cached walked the same parts and holders from the end, the second once for each engine of the service. One walk now returns what each engine holds and which holds the most; choices are the same, the tests pass as they were.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -101,7 +101,7 @@
 	defer t.mu.Unlock()
 	list := all.Of(r.Service)
 	loads, mean := t.loads(list, now)
-	known := t.longest(all, r.Parts, now)
+	known := t.copies(all, r.Parts, now)
 	shared := sharedTokens(r.Parts)
 	limit := t.policy.LoadBound*mean + loadAllowance
 	// Other instances decide on the same figures, so each leaves a loaded engine with a chance that grows up to the limit.
@@ -136,7 +136,7 @@
 		return Choice{}, nil, false
 	}
 	best.Others = max(others-1, 0)
-	if known.tokens < shared {
+	if known.most() < shared {
 		best.guess(list, order)
 	}
 	return best, t.begin(best, r, now), true
@@ -229,7 +229,7 @@
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
-func (t *Table) cost(e engines.Engine, s *state, r Request, known copyOf, load int, now time.Time) Choice {
+func (t *Table) cost(e engines.Engine, s *state, r Request, known copies, load int, now time.Time) Choice {
 	c := Choice{Engine: e, Load: load}
 	slow := 1.0
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < slownessLife {
@@ -244,9 +244,9 @@
 		c.Cost = slow*float64(load) + failureLoad*s.failure(now) + domainLoad*away + spreadLoad*rand.Float64()
 		return c
 	}
-	c.Cached = t.cached(e.Key, r.Parts, now)
-	if known.tokens > c.Cached {
-		c.Source, c.Fetched = known.engine, known.tokens-c.Cached
+	c.Cached = known.tokens[e.Key]
+	if known.most() > c.Cached {
+		c.Source, c.Fetched = known.longest, known.most()-c.Cached
 	}
 	c.Reading = tokens(r.Parts) - c.Cached - c.Fetched + s.reading
 	work := float64(c.Reading) + fetchShare*float64(c.Fetched) + loadTokens*float64(load)
@@ -254,40 +254,37 @@
 	return c
 }
 
-// copyOf is an engine with how many tokens of a prompt it holds.
-type copyOf struct {
-	engine engines.Key
-	tokens int
+// copies are how many tokens of a prompt engines are taken to hold.
+type copies struct {
+	tokens map[engines.Key]int
+	// longest is the engine that holds the most, the latest one of equals, where there is one.
+	longest engines.Key
 }
 
-// longest returns the engine that is known to hold the most of a prompt, the latest one of equals.
-func (t *Table) longest(all *engines.List, parts []Part, now time.Time) copyOf {
-	sum := tokens(parts)
-	for i := len(parts) - 1; i >= 0; i-- {
-		holders, _ := t.parts.Peek(parts[i].ID)
-		for _, h := range holders {
-			if _, ok := all.Get(h.Engine); ok && now.Sub(h.At) < holderLife {
-				return copyOf{engine: h.Engine, tokens: sum}
-			}
-		}
-		sum -= parts[i].Tokens
-	}
-	return copyOf{}
-}
+// most returns the tokens that the engine with the most holds.
+func (c copies) most() int { return c.tokens[c.longest] }
 
-// cached returns how many tokens at the beginning of the prompt the engine is taken to hold; one that holds a part holds those before it.
-func (t *Table) cached(key engines.Key, parts []Part, now time.Time) int {
+// copies returns which engines hold how much of a prompt; one that holds a part holds those before it.
+func (t *Table) copies(all *engines.List, parts []Part, now time.Time) copies {
+	c := copies{tokens: make(map[engines.Key]int)}
 	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
 		holders, _ := t.parts.Peek(parts[i].ID)
 		for _, h := range holders {
-			if h.Engine == key && now.Sub(h.At) < holderLife {
-				return sum
+			if _, known := c.tokens[h.Engine]; known || now.Sub(h.At) >= holderLife {
+				continue
 			}
+			if _, ok := all.Get(h.Engine); !ok {
+				continue
+			}
+			if len(c.tokens) == 0 {
+				c.longest = h.Engine
+			}
+			c.tokens[h.Engine] = sum
 		}
 		sum -= parts[i].Tokens
 	}
-	return 0
+	return c
 }
 
 // sharedTokens returns the tokens of a prompt without the request's own part.
