perf(placing): other instances' counts are summed only where an engine states no load

The sum over all instances was made for every engine and then replaced by the load that the engine had stated: 140 engines and 88 other instances are 12,320 look-ups a choice, under the table's lock. Choices are the same, the tests pass as they were. BenchmarkChoose, now with loads stated and 88 other instances, three runs: 14 engines 33 to 58 us before and 7.3 to 8.6 after, 140 engines 369 to 473 and 51 to 58, 700 engines 1,736 to 2,169 and 237 to 277.

--- a/request/placing/bench_test.go
+++ b/request/placing/bench_test.go
@@ -7,7 +7,8 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
-// BenchmarkChoose measures the choice of an engine for prompts of six parts, most of which several engines hold.
+// BenchmarkChoose measures the choice of an engine for prompts of six parts, most of which several engines hold; the engines state
+// their loads, and 88 other instances have told theirs.
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{14, 140, 700} {
 		b.Run(fmt.Sprintf("%d engines", count), func(b *testing.B) {
@@ -15,6 +16,12 @@
 			request := func(i int) Request {
 				return Request{Service: llm, Parts: prompt("a", "b", "c", fmt.Sprint("d", i%8), fmt.Sprint("e", i%32), fmt.Sprint("own", i))}
 			}
+			for i := range 88 {
+				table.NoteLoads(fmt.Sprint("instance-", i), map[engines.Key]int{}, start)
+			}
+			for _, e := range all.All() {
+				table.NoteReport(e, Report{Running: 1}, start)
+			}
 			b.ReportAllocs()
 			for i := range b.N {
 				_, work, ok := table.Choose(all, request(i), start)
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -212,16 +212,10 @@
 	loads := make([]int, len(list))
 	sum := 0
 	for i, e := range list {
-		key := e.Key
-		s := t.state(key)
-		n := s.running
-		for _, r := range t.remote {
-			if now.Sub(r.at) < remoteLife {
-				n += r.loads[key]
-			}
-		}
-		if now.Sub(s.statedAt) < reportLife {
-			n = s.stated + s.begun
+		s := t.state(e.Key)
+		n := s.stated + s.begun
+		if now.Sub(s.statedAt) >= reportLife {
+			n = s.running + t.remoteLoad(e.Key, now)
 		}
 		loads[i] = n
 		sum += n
@@ -229,6 +223,17 @@
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
+// remoteLoad returns the requests of other instances at an engine that states no load itself.
+func (t *Table) remoteLoad(key engines.Key, now time.Time) int {
+	sum := 0
+	for _, r := range t.remote {
+		if now.Sub(r.at) < remoteLife {
+			sum += r.loads[key]
+		}
+	}
+	return sum
+}
+
 func (t *Table) cost(e engines.Engine, s *state, r Request, known copies, load int, now time.Time) Choice {
 	c := Choice{Engine: e, Load: load}
 	slow := 1.0
