test: every deployment of a test has a loopback network of its own

Beside it TestPauseOfRouterUnderLoad panicked: its load ended before the pause did, and the timer signalled a router that the test had already ended. Ruled out: a router that does not give its port back (the port was never listened on). Signals end with their test, and the load lasts until the pause is over, so that the pause is always covered. Listeners as options of a router are gone.

--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -78,12 +79,28 @@
 	p.running[id] = cmd
 }
 
+// signal signals a router; one whose end was awaited, or a test that is over, gets none.
 func (p *processes) signal(id ident.Router, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.running[id].Process.Signal(s); err != nil {
-		p.t.Error(err)
+	cmd, ok := p.running[id]
+	if !ok {
+		return
 	}
+	if err := cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("signal %s to %s: %v", s, id, err)
+	}
+}
+
+// signalAfter signals a router after a delay, unless the test ends before, and closes the channel that it returns then.
+func (p *processes) signalAfter(delay time.Duration, id ident.Router, s syscall.Signal) <-chan struct{} {
+	sent := make(chan struct{})
+	timer := time.AfterFunc(delay, func() {
+		defer close(sent)
+		p.signal(id, s)
+	})
+	p.t.Cleanup(func() { timer.Stop() })
+	return sent
 }
 
 func (p *processes) wait(id ident.Router) error {
@@ -97,9 +114,10 @@
 func (p *processes) killAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, cmd := range p.running {
+	for id, cmd := range p.running {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
+		delete(p.running, id)
 	}
 }
 
@@ -178,6 +196,19 @@
 	return told
 }
 
+// loadUntil runs rounds of load until done is closed, at least one.
+func (p *processes) loadUntil(ctx context.Context, done <-chan struct{}, size int) map[string]error {
+	told := make(map[string]error)
+	for round := 0; ; round++ {
+		maps.Copy(told, p.load(ctx, round*size, size))
+		select {
+		case <-done:
+			return told
+		default:
+		}
+	}
+}
+
 // judge compares what callers were told with what the services ran.
 func (p *processes) judge(told map[string]error, unknownAllowed bool) {
 	runs := check.Executions(p.site.Desks)
@@ -222,7 +253,7 @@
 		t.Run(fmt.Sprintf("router-%d", victim+1), func(t *testing.T) {
 			p := startProcesses(t, 3)
 			id := p.routers[victim].Router.ID
-			time.AfterFunc(400*time.Millisecond, func() { p.signal(id, syscall.SIGKILL) })
+			p.signalAfter(400*time.Millisecond, id, syscall.SIGKILL)
 			p.judge(p.load(processContext(t), 0, loadSize), true)
 		})
 	}
@@ -234,9 +265,9 @@
 	}
 	p := startProcesses(t, 3)
 	id := p.routers[1].Router.ID
-	time.AfterFunc(400*time.Millisecond, func() { p.signal(id, syscall.SIGSTOP) })
-	time.AfterFunc(5*time.Second, func() { p.signal(id, syscall.SIGCONT) })
-	p.judge(p.load(processContext(t), 0, loadSize/2), true)
+	p.signalAfter(400*time.Millisecond, id, syscall.SIGSTOP)
+	resumed := p.signalAfter(5*time.Second, id, syscall.SIGCONT)
+	p.judge(p.loadUntil(processContext(t), resumed, loadSize/2), true)
 }
 
 func TestRollingReplacementOfAllNine(t *testing.T) {
@@ -257,16 +288,5 @@
 			p.awaitReady(r)
 		}
 	}()
-	told := make(map[string]error)
-	for round := 0; ; round++ {
-		for key, err := range p.load(ctx, round*roundSize, roundSize) {
-			told[key] = err
-		}
-		select {
-		case <-rolled:
-			p.judge(told, false)
-			return
-		default:
-		}
-	}
+	p.judge(p.loadUntil(ctx, rolled, roundSize), false)
 }
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -63,20 +63,12 @@
 	return nil
 }
 
-// routerSettings returns settings for routers on free ports, and lists them.
+// routerSettings returns settings for routers on addresses of their own, and lists them.
 func routerSettings(all *site.Site, n int, operatorKey string) ([]settings.Settings, error) {
 	var list []settings.Settings
 	for i := range n {
-		callers, err := site.FreeAddress()
-		if err != nil {
-			return nil, err
-		}
-		peers, err := site.FreeAddress()
-		if err != nil {
-			return nil, err
-		}
 		id := ident.Router(fmt.Sprintf("router-%d", i+1))
-		v, err := all.Settings(id, all.Plan.Domains[i%len(all.Plan.Domains)], callers, peers, operatorKey)
+		v, err := all.Settings(id, all.Plan.Domains[i%len(all.Plan.Domains)], all.NextAddress(), all.NextAddress(), operatorKey)
 		if err != nil {
 			return nil, err
 		}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/entry"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/standin/loopback"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 	"github.com/vanillaroute/vanillaroute/tomlfile"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -38,25 +39,21 @@
 	drainingMark = "draining "
 	// drainBound is the users' time from the store's word that an engine drains to the last request that may reach it.
 	drainBound = 3 * time.Second
-	// firstNet and firstPort give every instance loopback addresses of its own, with the same ports as on the platform.
-	firstNet  = 100
+	// firstPort is the first of the ports that all instances use, as on the platform.
 	firstPort = 7001
 )
 
-// fleets counts the fleets of all tests.
-var fleets atomic.Int32
-
 type (
 	// fleet is some instances before fake engines and a store in memory.
 	fleet struct {
-		t      *testing.T
-		number int32
-		store  *memstore.Store
-		nodes  []*instance
-		engine *httptest.Server
-		runs   atomic.Int32
-		work   time.Duration
-		listed atomic.Int32
+		t       *testing.T
+		network *loopback.Network
+		store   *memstore.Store
+		nodes   []*instance
+		engine  *httptest.Server
+		runs    atomic.Int32
+		work    time.Duration
+		listed  atomic.Int32
 	}
 
 	instance struct {
@@ -99,7 +96,12 @@
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, number: fleets.Add(1), store: memstore.New()}
+	network, err := loopback.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = network.Close() })
+	f := &fleet{t: t, network: network, store: memstore.New()}
 	f.engine = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
 		time.Sleep(f.work)
@@ -133,7 +135,7 @@
 	s.Instance.Name = fmt.Sprint("n", i)
 	s.Instance.FailureDomain = ident.Domain(fmt.Sprint("d", i%3))
 	for port, a := range []*tomlfile.Address{&s.Instance.Callers, &s.Instance.Ready, &s.Instance.Directory, &s.Instance.Peers, &s.Instance.Metrics} {
-		*a = parseAddress(f.t, fmt.Sprintf("127.%d.%d.1:%d", firstNet+f.number, i+1, firstPort+port))
+		*a = tomlfile.Address{AddrPort: f.network.Address(i, uint16(firstPort+port))}
 	}
 	s.Bounds.KeyRevocation = tomlfile.NewDuration(revocation)
 	s.Bounds.Contact = tomlfile.NewDuration(time.Second)
@@ -257,15 +259,6 @@
 	f.t.Fatalf(message, args...)
 }
 
-func parseAddress(t *testing.T, s string) tomlfile.Address {
-	t.Helper()
-	var a tomlfile.Address
-	if err := a.UnmarshalText([]byte(s)); err != nil {
-		t.Fatal(err)
-	}
-	return a
-}
-
 func TestEveryInstanceServesAndNamesAll(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
--- a/process/router/policy_test.go
+++ b/process/router/policy_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -289,20 +288,12 @@
 // startStranger runs a router without a certificate that is listed like the others.
 func startStranger(t *testing.T, d *embedded.Deployment) *router.Router {
 	t.Helper()
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return ln
-	}
-	o := router.Options{Log: zap.NewNop(), Callers: listen(), Peers: listen()}
-	s, err := d.Site.Settings("stranger", "brest", o.Callers.Addr().String(), o.Peers.Addr().String(), d.OperatorKey)
+	s, err := d.Site.Settings("stranger", "brest", d.Site.NextAddress(), d.Site.NextAddress(), d.OperatorKey)
 	if err != nil {
 		t.Fatal(err)
 	}
 	d.Site.ListRouter(s)
-	r, err := router.New(s, o, time.Now())
+	r, err := router.New(s, router.Options{Log: zap.NewNop()}, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -40,9 +40,6 @@
 	// Options are what a router is given beside its settings.
 	Options struct {
 		Log *zap.Logger
-		// Callers and Peers are listeners to use in place of the settings' addresses.
-		Callers net.Listener
-		Peers   net.Listener
 		// Point is called where a request passes a step, so that tests can cause a fault there.
 		Point home.Point
 		// WrapPeer wraps each connection with a peer, so that tests can cut a link.
@@ -97,7 +94,7 @@
 		return nil, err
 	}
 	r.identity = peer.Identity{Router: r.self, Incarnation: r.incarnation, TLS: secured, Wrap: o.WrapPeer}
-	if err := r.listen(o); err != nil {
+	if err := r.listen(); err != nil {
 		return nil, err
 	}
 	self := fleet.Instance{
@@ -182,19 +179,14 @@
 // Kill stops the router at once, as a crash would.
 func (r *Router) Kill() { r.stopWork() }
 
-func (r *Router) listen(o Options) error {
-	r.callersLn, r.peersLn = o.Callers, o.Peers
+func (r *Router) listen() error {
 	var err error
-	if r.callersLn == nil {
-		if r.callersLn, err = net.Listen("tcp", r.settings.Router.Callers.String()); err != nil {
-			return errors.Wrap(err, "listen for callers")
-		}
+	if r.callersLn, err = net.Listen("tcp", r.settings.Router.Callers.String()); err != nil {
+		return errors.Wrap(err, "listen for callers")
 	}
-	if r.peersLn == nil {
-		if r.peersLn, err = net.Listen("tcp", r.settings.Router.Peers.String()); err != nil {
-			_ = r.callersLn.Close()
-			return errors.Wrap(err, "listen for peers")
-		}
+	if r.peersLn, err = net.Listen("tcp", r.settings.Router.Peers.String()); err != nil {
+		_ = r.callersLn.Close()
+		return errors.Wrap(err, "listen for peers")
 	}
 	return nil
 }
--- a/soak/instance.go
+++ b/soak/instance.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/platform/standin"
+	"github.com/vanillaroute/vanillaroute/standin/loopback"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 )
 
@@ -39,8 +40,8 @@
 }
 
 // newInstance prepares an instance at an address of its own; all use the same ports, as on the platform.
-func newInstance(binary, dir string, net, number int, store *memstore.Store) (*instance, error) {
-	n := &instance{ip: fmt.Sprintf("127.%d.%d.1", net, number+1), binary: binary, client: store.Client()}
+func newInstance(binary, dir string, network *loopback.Network, number int, store *memstore.Store) (*instance, error) {
+	n := &instance{ip: network.Address(number, callersPort).Addr().String(), binary: binary, client: store.Client()}
 	n.settings = filepath.Join(dir, fmt.Sprintf("entry-%d.toml", number))
 	n.log = filepath.Join(dir, fmt.Sprintf("entry-%d.log", number))
 	api, address, err := serveLocal(standin.Handler(n.client))
@@ -58,7 +59,7 @@
 ready = "%s:%d"
 directory = "%s:%d"
 peers = "%s:%d"
-seeds = ["127.%d.1.1:%d"]
+seeds = [%q]
 [store]
 address = %q
 [bounds]
@@ -71,7 +72,7 @@
 ratio = %g
 slack = %d
 window = %q
-`, number, number%3, n.ip, callersPort, n.ip, readyPort, n.ip, directoryPort, n.ip, peersPort, net, peersPort, n.proxy.address(),
+`, number, number%3, n.ip, callersPort, n.ip, readyPort, n.ip, directoryPort, n.ip, peersPort, network.Address(0, peersPort), n.proxy.address(),
 		revocationTime, shutdownTime, retryRatio, retrySlack, retryWindow)
 	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/platform/standin"
+	"github.com/vanillaroute/vanillaroute/standin/loopback"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 )
@@ -40,8 +41,6 @@
 	// settleTime lets requests from before the recovery end, and judgedTime is how long those after it are judged.
 	settleTime = time.Second
 	judgedTime = 2 * time.Second
-	// netsOfSeeds is how many runs can use loopback addresses of their own at once.
-	firstNet, netsOfSeeds = 150, 100
 )
 
 type (
@@ -70,6 +69,7 @@
 	run struct {
 		Options
 		draws     *rand.Rand
+		network   *loopback.Network
 		store     *memstore.Store
 		seen      *record
 		instances []*instance
@@ -123,6 +123,10 @@
 }
 
 func (r *run) start() error {
+	var err error
+	if r.network, err = loopback.ClaimNear(r.Seed); err != nil {
+		return err
+	}
 	if err := r.configure([]string{keptKey, revokedKey}); err != nil {
 		return err
 	}
@@ -132,7 +136,7 @@
 		}
 	}
 	for i := range r.Instances {
-		n, err := newInstance(r.Binary, r.Dir, firstNet+int(r.Seed%netsOfSeeds), i, r.store)
+		n, err := newInstance(r.Binary, r.Dir, r.network, i, r.store)
 		if err != nil {
 			return err
 		}
@@ -356,6 +360,9 @@
 		_ = e.server.Close()
 		e.proxy.close()
 	}
+	if r.network != nil {
+		_ = r.network.Close()
+	}
 }
 
 func serveLocal(h http.Handler) (*http.Server, string, error) {
--- a/standin/embedded/embedded.go
+++ b/standin/embedded/embedded.go
@@ -73,15 +73,7 @@
 
 // AddRouter starts one more router and lists it.
 func (d *Deployment) AddRouter(id ident.Router, domain ident.Domain) (*Node, error) {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
-	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for peers")
-	}
-	v, err := d.Site.Settings(id, domain, callers.Addr().String(), peers.Addr().String(), d.OperatorKey)
+	v, err := d.Site.Settings(id, domain, d.Site.NextAddress(), d.Site.NextAddress(), d.OperatorKey)
 	if err != nil {
 		return nil, err
 	}
@@ -89,11 +81,11 @@
 		d.options.Change(&v)
 	}
 	d.Site.ListRouter(v)
-	return d.run(v, router.Options{Callers: callers, Peers: peers})
+	return d.run(v)
 }
 
 // Restart starts a router again on the addresses that it had.
-func (d *Deployment) Restart(n *Node) (*Node, error) { return d.run(n.Settings, router.Options{}) }
+func (d *Deployment) Restart(n *Node) (*Node, error) { return d.run(n.Settings) }
 
 // Nodes returns the routers started so far, the stopped ones included.
 func (d *Deployment) Nodes() []*Node {
@@ -149,8 +141,8 @@
 	return err
 }
 
-func (d *Deployment) run(v settings.Settings, o router.Options) (*Node, error) {
-	o.Log = d.options.Log.With(zap.String("router", string(v.Router.ID)))
+func (d *Deployment) run(v settings.Settings) (*Node, error) {
+	o := router.Options{Log: d.options.Log.With(zap.String("router", string(v.Router.ID)))}
 	if d.options.Point != nil {
 		o.Point = d.options.Point(v.Router.ID)
 	}
--- a/standin/site/describe.go
+++ b/standin/site/describe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -118,16 +117,17 @@
 }
 
 // Settings returns the settings of a router of this site, on the given addresses.
-func (s *Site) Settings(id ident.Router, domain ident.Domain, callers, peers string, operatorKey string) (settings.Settings, error) {
+func (s *Site) Settings(id ident.Router, domain ident.Domain, callers, peers netip.AddrPort, operatorKey string) (settings.Settings, error) {
 	var v settings.Settings
 	v.Router.ID = id
 	v.Router.FailureDomain = domain
 	v.Operators.KeyHash = lists.HashKey(operatorKey)
 	v.Services = []settings.Service{{Name: DeskService, Unrepeatable: []string{"POST /bookings"}}}
+	v.Router.Callers.AddrPort, v.Router.Peers.AddrPort = callers, peers
 	for _, a := range []struct {
 		field *tomlfile.Address
 		value string
-	}{{&v.Router.Callers, callers}, {&v.Router.Peers, peers}, {&v.Platform.Store, s.StoreAddress()}, {&v.Platform.Instances, s.InstancesAddress()}} {
+	}{{&v.Platform.Store, s.StoreAddress()}, {&v.Platform.Instances, s.InstancesAddress()}} {
 		parsed, err := netip.ParseAddrPort(a.value)
 		if err != nil {
 			return v, errors.Wrap(err, "address of a stand-in")
@@ -165,12 +165,5 @@
 	})
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
-func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
+// NextAddress returns a loopback address on which nothing of this site or another one listens.
+func (s *Site) NextAddress() netip.AddrPort { return s.network.Next() }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -14,17 +14,14 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/standin/engine"
 	"github.com/vanillaroute/vanillaroute/standin/kv"
+	"github.com/vanillaroute/vanillaroute/standin/loopback"
 	"github.com/vanillaroute/vanillaroute/standin/service"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
 
-const (
-	loopback = "127.0.0.1:0"
-
-	// DeskService is the name of the service whose bookings may not repeat.
-	DeskService ident.Service = "desk"
-)
+// DeskService is the name of the service whose bookings may not repeat.
+const DeskService ident.Service = "desk"
 
 type (
 	// Plan says what a site is made of.
@@ -54,6 +51,7 @@
 		Desks         []*service.Service
 		Organisations []Organisation
 
+		network         *loopback.Network
 		storeLn, listLn net.Listener
 		servers         []*http.Server
 		mu              sync.Mutex
@@ -80,16 +78,20 @@
 	}
 }
 
-// Start runs the stand-ins of a plan on loopback ports.
+// Start runs the stand-ins of a plan on a loopback network of their own.
 func Start(p Plan) (*Site, error) {
-	s := &Site{Plan: p, Store: kv.New()}
+	network, err := loopback.Claim()
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{Plan: p, Store: kv.New(), network: network}
 	for i := range p.Engines {
 		if _, err := s.AddEngine(fmt.Sprintf("engine-%02d", i+1), p.Domains[i%len(p.Domains)]); err != nil {
 			return nil, err
 		}
 	}
 	for i := range p.Desks {
-		ln, err := net.Listen("tcp", loopback)
+		ln, err := s.network.Listen()
 		if err != nil {
 			return nil, errors.Wrap(err, "listen for service")
 		}
@@ -106,7 +108,7 @@
 
 // AddEngine starts one more engine and lists it.
 func (s *Site) AddEngine(id string, domain ident.Domain) (*engine.Engine, error) {
-	ln, err := net.Listen("tcp", loopback)
+	ln, err := s.network.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for engine")
 	}
@@ -200,14 +202,15 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	_ = s.network.Close()
 }
 
 func (s *Site) serve() error {
 	var err error
-	if s.storeLn, err = net.Listen("tcp", loopback); err != nil {
+	if s.storeLn, err = s.network.Listen(); err != nil {
 		return errors.Wrap(err, "listen for store")
 	}
-	if s.listLn, err = net.Listen("tcp", loopback); err != nil {
+	if s.listLn, err = s.network.Listen(); err != nil {
 		return errors.Wrap(err, "listen for list")
 	}
 	mux := http.NewServeMux()
