fix: a connection on which a request has begun is never closed as idle

A timer closed a caller's connection for its idle limit in the moment in which a request had been read from it; the request went on to an engine. Server.Shutdown and the set of unused connections had the same gap. Change: connection/idle ends connections by the deadlines of the task that reads them, so that what was read is always answered; it replaces connection/unused and process/entry's timers, in both entry and serve.

--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -12,7 +12,7 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
-	"github.com/vanillaroute/vanillaroute/connection/unused"
+	"github.com/vanillaroute/vanillaroute/connection/idle"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/metrics"
@@ -167,26 +167,25 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(work)
-	fresh, idle := unused.New(), newIdleConns(n.idleLimit)
+	conns := idle.New(n.idleLimit)
 	callers := &http.Server{
-		Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.log),
-		ConnState: func(c net.Conn, state http.ConnState) {
-			fresh.Changed(c, state)
-			idle.changed(c, state)
-		},
-	}
+		Handler: n.handler(s), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.log)}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
 	directory := &http.Server{Handler: n.directoryHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(n.log)}
 	serve := []struct {
-		server  *http.Server
+		serve   func(net.Listener) error
 		address string
-	}{{callers, s.Instance.Callers.String()}, {ready, s.Instance.Ready.String()}, {directory, s.Instance.Directory.String()}}
+	}{
+		{func(l net.Listener) error { return conns.Serve(callers, l) }, s.Instance.Callers.String()},
+		{ready.Serve, s.Instance.Ready.String()},
+		{directory.Serve, s.Instance.Directory.String()},
+	}
 	for _, each := range serve {
 		listener, err := net.Listen("tcp", each.address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		group.Go(func() error { return ignoreClosed(each.server.Serve(listener)) })
+		group.Go(func() error { return ignoreClosed(each.serve(listener)) })
 	}
 	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.hear, n.give, n.unreceived) })
 	group.Go(func() error { return n.sendHeartbeats(groupCtx) })
@@ -203,7 +202,7 @@
 	n.log.Info("started", zap.String("peer", n.self), zap.String("failureDomain", string(s.Instance.FailureDomain)), zap.Bool("firstStart", s.Instance.FirstStart))
 	select {
 	case <-ctx.Done():
-		n.shutDown(work, callers, fresh)
+		n.shutDown(work, conns)
 	case <-groupCtx.Done():
 	}
 	stop()
@@ -246,7 +245,7 @@
 }
 
 // shutDown leaves the address answers, serves on while callers may still come, and finishes what is in progress.
-func (n *Instance) shutDown(ctx context.Context, callers *http.Server, fresh *unused.Conns) {
+func (n *Instance) shutDown(ctx context.Context, conns *idle.Conns) {
 	s := n.settings.Load()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
@@ -254,8 +253,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Bounds.Shutdown.Std()-stopMargin)
 	defer cancel()
 	pause.For(ctx, lingerFactor*min(addressValidity, s.Bounds.MaxAddressValidity.Std()))
-	fresh.Close()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := conns.Stop(ctx); err != nil {
 		n.log.Warn("requests were cut at shutdown", zap.Error(err))
 	}
 }
--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -219,3 +220,23 @@
 		}
 	}
 }
+
+// TestWhatWaitsAtAStoppedHomeGoesElsewhere ends a home while a request waits there; its caller has not left.
+func TestWhatWaitsAtAStoppedHomeGoesElsewhere(t *testing.T) {
+	e := newScriptedEngine(t)
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	ctx, stop := context.WithCancel(t.Context())
+	s.ctx = ctx
+	home, _ := s.home(testEngine)
+	home.mu.Lock()
+	home.report.Slots = 1
+	home.mu.Unlock()
+	submit(t, s, "first", "one")
+	await(t, e.begun, "first")
+	waiting := submit(t, s, "waiting", "two")
+	stop()
+	s.Tick(time.Now())
+	if refusal := refusalOfRun(t, waiting); refusal.Code != wire.CodeNotHome || refusal.Outcome != wire.NotRun {
+		t.Errorf("%+v does not send the request to another home", *refusal)
+	}
+}
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -93,7 +93,7 @@
 		e.drop(late.Value, e.lateRefusal(late.Value), now)
 	}
 	for _, gone := range e.queue.Remove(func(r *run.Run) bool { return r.Context().Err() != nil }) {
-		e.drop(gone.Value, wire.Refuse(statusClosed, wire.CodeBadRequest, "the caller left"), now)
+		e.drop(gone.Value, e.goneRefusal(), now)
 	}
 	for {
 		item, ok := e.queue.Pop(e.slots(now), now)
@@ -116,6 +116,14 @@
 	}
 }
 
+// goneRefusal says why a run was cancelled while it waited: every run of a home that stops is, though its caller has not left.
+func (e *Engine) goneRefusal() *wire.Refusal {
+	if e.set.ctx.Err() != nil {
+		return wire.Refuse(http.StatusServiceUnavailable, wire.CodeNotHome, "the home of engine %s has stopped", e.id)
+	}
+	return wire.Refuse(statusClosed, wire.CodeBadRequest, "the caller left")
+}
+
 // requeue lets the held copies take part again, since more may be known of the engine; they have their old deadlines.
 func (e *Engine) requeue(now time.Time) {
 	held := e.held
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,10 +10,10 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/callers"
 	"github.com/vanillaroute/vanillaroute/connection/gateway"
+	"github.com/vanillaroute/vanillaroute/connection/idle"
 	"github.com/vanillaroute/vanillaroute/connection/instances"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/connection/service"
-	"github.com/vanillaroute/vanillaroute/connection/unused"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/pause"
@@ -136,11 +135,10 @@
 func (r *Router) Run(ctx context.Context) error {
 	server := callers.New(r.callerParts()).HTTP()
 	server.ErrorLog = zap.NewStdLog(r.log)
-	fresh := unused.New()
-	server.ConnState = fresh.Changed
+	conns := idle.New(func() time.Duration { return 0 })
 	group, groupCtx := errgroup.WithContext(r.work)
 	group.Go(func() error { return peer.Serve(groupCtx, r.peersLn, r.identity, r.servePeer) })
-	group.Go(func() error { return ignoreClosed(server.Serve(r.callersLn)) })
+	group.Go(func() error { return conns.Serve(server, r.callersLn) })
 	group.Go(func() error { return r.followInstances(groupCtx) })
 	group.Go(func() error { return r.followConfiguration(groupCtx) })
 	group.Go(func() error { return r.orders.Run(groupCtx) })
@@ -149,7 +147,7 @@
 	group.Go(func() error { return r.keepTime(groupCtx) })
 	select {
 	case <-ctx.Done():
-		r.shutDown(server, fresh)
+		r.shutDown(conns)
 	case <-groupCtx.Done():
 	}
 	r.stopWork()
@@ -201,7 +199,7 @@
 }
 
 // shutDown tells the fleet, serves on while callers may still hold this address, and then finishes what is in progress.
-func (r *Router) shutDown(server *http.Server, fresh *unused.Conns) {
+func (r *Router) shutDown(conns *idle.Conns) {
 	r.log.Info("leaving")
 	r.leaving.Store(true)
 	r.fleet.Leave(time.Now())
@@ -209,8 +207,7 @@
 	ctx, cancel := context.WithTimeout(r.work, r.settings.Routing.GracefulShutdown.Std())
 	defer cancel()
 	pause.For(ctx, r.settings.Routing.AddressValidity.Std())
-	fresh.Close()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := conns.Stop(ctx); err != nil {
 		r.log.Warn("requests cut at shutdown", zap.Error(err))
 	}
 	for r.homes.Active()+r.ledger.Active() > 0 && ctx.Err() == nil {
@@ -263,13 +260,6 @@
 	return ctx.Err()
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "serve callers")
-}
-
 // Peers returns how many routers, this one included, are live in its view.
 func (r *Router) Peers() int { return len(r.fleet.View().Routers()) }
 
