fix(forward): an engine that is silent is left only where a repeat is allowed

A stream that paused was cut in the same way, which beside planned work is a loss. Change: an attempt that takes too long reserves its repeat before it is left, and is awaited where there is none; early repeats fill half of the budget at most. The budget's window follows the steady clock, not the time of day, which may jump. Test: TestSilentEngineIsAwaitedWhereNoRepeatIsAllowed, failed before; TestEarlyRepeatsLeaveHalfOfTheBudget.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +27,8 @@
 	reuseIdleOnce = 700 * time.Millisecond
 	// patienceShare is the part of its target time that a repeatable request waits at one engine.
 	patienceShare = 0.6
+	// leavePause is the pause until an attempt that took too long, and may not be left for want of budget, is looked at again.
+	leavePause = 100 * time.Millisecond
 	// answerGrace is left to an engine's own answer at the deadline that it was given.
 	answerGrace = 100 * time.Millisecond
 	// readingFactor is how many times the likely reading time of a prompt an engine may take.
@@ -70,6 +74,8 @@
 		world World
 		// suspected says that the request is refused for the engines that it crashed.
 		suspected bool
+		// reserved says that a repeat was taken from the budget as the last attempt was left.
+		reserved atomic.Bool
 		// sends counts all offers to engines, and runs those that an engine may have run.
 		sends, runs int
 		// kept is an engine's own failure, for the caller where nothing better comes.
@@ -142,7 +148,7 @@
 		x.verdict = "it may have run and may not run again"
 	case x.runs >= x.route.MaxEngines && x.runs > 0:
 		x.verdict = "as many engines as the route allows have had it"
-	case !x.Budget.Take(x.service, x.world.Instances, now):
+	case !x.reserved.Swap(false) && !x.Budget.Take(x.service, x.world.Instances, now):
 		x.verdict = "no budget for a repeat"
 		x.Metrics.Add("retriesOverBudget", 1)
 	}
@@ -154,9 +160,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := choice.Engine
-	patience := x.patience(choice, now)
-	timer := time.AfterFunc(patience, cancel)
+	timer := x.leaveTimer(ctx, cancel)
 	defer timer.Stop()
+	if patience, ok := x.patience(choice); ok {
+		timer.Reset(patience)
+	}
 	resp, err := x.Client.Do(ctx, e.Address, x.request(choice, now), now)
 	if err != nil {
 		return x.unanswered(ctx, e, err)
@@ -181,14 +189,37 @@
 	return x.whole(resp, e, work)
 }
 
-// patience is how long an attempt may take until its first answer: longer where the engine has much to read, and all that is left where no other engine could be tried.
-func (x *exchange) patience(choice placing.Choice, now time.Time) time.Duration {
-	left := x.deadline.Add(answerGrace).Sub(now)
-	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxEngines || x.route.Target <= 0 || choice.Others == 0 {
-		return left
+// patience is how long an attempt may take until its first answer, longer where the engine has much to read; it reports false where
+// no other engine could be tried.
+func (x *exchange) patience(choice placing.Choice) (time.Duration, bool) {
+	if !x.route.Repeatable() || !x.mayLeave(x.runs+1, x.sends+1) || x.route.Target <= 0 || choice.Others == 0 {
+		return 0, false
 	}
 	usual := time.Duration(patienceShare * float64(x.route.Target))
-	return min(left, max(usual, readingFactor*x.Table.ReadingTime(choice)))
+	return max(usual, readingFactor*x.Table.ReadingTime(choice)), true
+}
+
+// mayLeave reports whether one more engine may run the request after so many runs and sends.
+func (x *exchange) mayLeave(runs, sends int) bool {
+	return runs < x.route.MaxEngines && sends < maxSends
+}
+
+// leaveTimer returns a timer, to be set, at which the attempt ends if the budget has a repeat for the request: an engine that is silent
+// may still answer, which is better than nothing.
+func (x *exchange) leaveTimer(ctx context.Context, cancel context.CancelFunc) *time.Timer {
+	instances := x.world.Instances
+	var timer *time.Timer
+	timer = time.AfterFunc(math.MaxInt64, func() {
+		switch {
+		case ctx.Err() != nil:
+		case x.Budget.TakeEarly(x.service, instances, time.Now()):
+			x.reserved.Store(true)
+			cancel()
+		default:
+			timer.Reset(leavePause)
+		}
+	})
+	return timer
 }
 
 func (x *exchange) request(choice placing.Choice, now time.Time) upstream.Request {
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -86,7 +86,7 @@
 	f.engines = list
 	f.handler = New(Parts{
 		Names: testNames, Limits: func() Limits { return Limits{KeyAge: 4 * time.Second, DenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
-		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}), Client: upstream.New(), Metrics: metrics.NewText(), Suspects: suspects.New(), Log: zap.NewNop(),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewText(), Suspects: suspects.New(), Log: zap.NewNop(),
 		World: func() World {
 			return World{Configuration: configuration, Engines: list, ProofAge: time.Duration(f.age.Load()), Instances: 3}
 		},
@@ -509,6 +509,42 @@
 }
 
 // TestRequestThatCrashesEnginesReachesTwo: the same body comes again and again; each engine that runs it is gone afterwards.
+// TestSilentEngineIsAwaitedWhereNoRepeatIsAllowed has engines that answer late, and no budget for repeats: an answer that is on its way is
+// better than none.
+func TestSilentEngineIsAwaitedWhereNoRepeatIsAllowed(t *testing.T) {
+	const target, late = 200 * time.Millisecond, 400 * time.Millisecond
+	tests := []struct {
+		name   string
+		route  routing.Route
+		engine fakeEngine
+		want   string
+	}{
+		{"whole answer", routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: target}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(late)
+			good(w, "late")
+		}, "late"},
+		{"pause of a stream", routing.Route{Kind: routing.Stream, Resumable: true, MaxEngines: 2, Target: target, TargetGap: 50 * time.Millisecond}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			good(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(late)
+			_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, tt.route, tt.engine)
+			f.handler.Budget.SetPolicy(retries.Policy{Window: 10 * time.Second}, time.Now())
+			resp, body, err := f.send(t, nil)
+			if err != nil || resp.StatusCode != http.StatusOK || body != tt.want {
+				t.Fatalf("got %q, %v", body, err)
+			}
+			if n := f.runs.Load(); n != 1 {
+				t.Errorf("%d engines ran it", n)
+			}
+		})
+	}
+}
+
 func TestRequestThatCrashesEnginesReachesTwo(t *testing.T) {
 	route := routing.Route{Kind: routing.Repeatable, MaxEngines: 2, Target: time.Second}
 	f := newFixture(t, route, func(int, http.ResponseWriter, *http.Request) {})
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -98,8 +98,8 @@
 
 // rearm lets the attempt end where the next event is too late, if another engine could go on.
 func (x *exchange) rearm(timer *time.Timer) {
-	if !x.route.Resumable || x.runs >= x.route.MaxEngines || x.route.TargetGap <= 0 {
-		timer.Reset(time.Until(x.deadline.Add(answerGrace)))
+	if !x.route.Resumable || !x.mayLeave(x.runs, x.sends) || x.route.TargetGap <= 0 {
+		timer.Stop()
 		return
 	}
 	timer.Reset(time.Duration(gapsAllowed * float64(x.route.TargetGap)))
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -151,7 +151,7 @@
 	}
 	n := &Instance{
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
-		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy()),
+		mirror: mirror.New(), members: members.New(), budget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
 		client: upstream.New(), heartbeats: heartbeats, control: budget.New(now), metrics: metrics.NewText(), suspects: suspects.New(), hint: make(chan ahead, hints), decoded: make(map[string]engines.Engine),
 	}
--- a/request/retries/retries.go
+++ b/request/retries/retries.go
@@ -12,6 +12,9 @@
 	buckets = 10
 	// reserve is the part of the shared slack that instances leave unused, since a restarted one has forgotten what it used.
 	reserve = 0.5
+	// earlyShare is the part of the budget up to which repeats are made that could be done without: the rest is for requests that
+	// have no engine at work on them.
+	earlyShare = 0.5
 	// leastInstances is how many instances share the slack while others are not known yet.
 	leastInstances = 3
 )
@@ -29,20 +32,21 @@
 	// Budget counts the requests and repeats of one instance by service.
 	Budget struct {
 		policy   Policy
+		began    time.Time
 		mu       sync.Mutex
 		services map[ident.Service]*counts
 	}
 
 	counts struct {
 		requests, repeats [buckets]int
-		// turn is the number of the present bucket since the clock's start.
+		// turn is the number of the present bucket since the budget began, by the steady clock.
 		turn int64
 	}
 )
 
 // New returns an unused budget.
-func New(p Policy) *Budget {
-	return &Budget{policy: p, services: make(map[ident.Service]*counts)}
+func New(p Policy, now time.Time) *Budget {
+	return &Budget{policy: p, began: now, services: make(map[ident.Service]*counts)}
 }
 
 // SetPolicy takes another budget. Where the window changes, the repeats of the old one count as made now, and its requests no more.
@@ -72,11 +76,21 @@
 
 // Take reports whether one more send is within this instance's part of the budget, and counts it where it is.
 func (b *Budget) Take(s ident.Service, instances int, now time.Time) bool {
+	return b.take(s, 1, instances, now)
+}
+
+// TakeEarly is Take for a request whose engine may still answer, and which only does not want to wait for it.
+func (b *Budget) TakeEarly(s ident.Service, instances int, now time.Time) bool {
+	return b.take(s, earlyShare, instances, now)
+}
+
+// take counts one more send if all of them then fill no more than a share of this instance's part.
+func (b *Budget) take(s ident.Service, share float64, instances int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(s, now)
 	slack := b.policy.Slack * reserve / float64(max(instances, leastInstances))
-	if float64(sum(c.repeats)+1) > b.policy.Ratio*float64(sum(c.requests))+slack {
+	if float64(sum(c.repeats)+1) > share*(b.policy.Ratio*float64(sum(c.requests))+slack) {
 		return false
 	}
 	c.repeats[c.turn%buckets]++
@@ -84,7 +98,7 @@
 }
 
 func (b *Budget) at(s ident.Service, now time.Time) *counts {
-	turn := now.UnixNano() / int64(b.policy.Window/buckets)
+	turn := int64(now.Sub(b.began) / (b.policy.Window / buckets))
 	c, ok := b.services[s]
 	if !ok {
 		c = &counts{turn: turn}
--- a/request/retries/retries_test.go
+++ b/request/retries/retries_test.go
@@ -24,8 +24,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := New(policy)
 			now := time.Unix(1000, 0)
+			b := New(policy, now)
 			for range tt.requests {
 				b.Request(service, now)
 			}
@@ -43,7 +43,7 @@
 // TestChangedPolicyForgetsNoRepeat changes the budget again and again while every request fails.
 func TestChangedPolicyForgetsNoRepeat(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New(policy)
+	b := New(policy, now)
 	got := 0
 	for i := range 20 {
 		b.SetPolicy(Policy{Ratio: policy.Ratio, Slack: policy.Slack, Window: policy.Window + time.Duration(i%3)*time.Second}, now)
@@ -68,7 +68,7 @@
 	requests, repeats := 0, 0
 	for range 2 {
 		for range instances {
-			b := New(policy)
+			b := New(policy, now)
 			for range 20 {
 				b.Request(service, now)
 				requests++
@@ -84,9 +84,28 @@
 	}
 }
 
+// TestEarlyRepeatsLeaveHalfOfTheBudget uses up what repeats may take whose engine still works on the request.
+func TestEarlyRepeatsLeaveHalfOfTheBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(policy, now)
+	for range 100 {
+		b.Request(service, now)
+	}
+	early, needed := 0, 0
+	for b.TakeEarly(service, 9, now) {
+		early++
+	}
+	for b.Take(service, 9, now) {
+		needed++
+	}
+	if early != 11 || needed != 12 {
+		t.Fatalf("%d early repeats and %d others, want 11 and 12", early, needed)
+	}
+}
+
 func TestWindowPasses(t *testing.T) {
-	b := New(policy)
 	now := time.Unix(1000, 0)
+	b := New(policy, now)
 	for b.Take(service, 9, now) {
 		continue
 	}
