fix(entry): a reader that has lost the store yields to the next at once

The store turned away both readers at 24.57 s (429), and nobody else read a change until 29.5 s. Two of every three rumours that would have kept members alive were missing too: 6,682 times an instance took a living one to be lost. Test: TestChangesArriveWhereTheStoreTurnsReadersAway, silent readers failed before (2 s).

--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -61,7 +61,8 @@
 		// Held are engines that the sender could not reach.
 		Held    []Held
 		Holders []Holder
-		Rumours []Rumour
+		// Rumours are packed by PackRumours.
+		Rumours []byte
 		// Suspects are requests that crashed engines.
 		Suspects []wire.Suspect
 	}
@@ -69,12 +70,6 @@
 	// Millis is a time in milliseconds, which takes three bytes of a message up to a minute.
 	Millis int64
 
-	// Rumour is when another instance was last heard of; all instances use the same port for peers.
-	Rumour struct {
-		IP  uint32
-		Age Millis
-	}
-
 	// Load is the load that an engine stated, with the time since.
 	Load struct {
 		Engine   engines.Key
@@ -150,9 +145,8 @@
 	}
 	for len(body) > MaxDatagram && len(b.Holders)+len(b.Rumours)+len(b.Loads)+len(b.Stated) > 0 {
 		b.Holders = b.Holders[:len(b.Holders)/2]
-		b.Rumours = b.Rumours[:len(b.Rumours)/2]
-		if len(b.Holders)+len(b.Rumours) == 0 {
-			b.Loads, b.Stated = nil, nil
+		if len(b.Holders) == 0 {
+			b.Loads, b.Stated, b.Rumours = nil, nil, nil
 		}
 		body = wire.Encode(b)
 	}
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -88,8 +88,8 @@
 // TestDatagramFitsIntoOnePacket gives a heartbeat more than fits.
 func TestDatagramFitsIntoOnePacket(t *testing.T) {
 	m := Message{Peer: "127.0.0.1:1", Revision: 9, Changed: true, Changes: []mirror.Entry{{Key: "k", Value: make([]byte, 2*MaxDatagram)}}}
+	m.Rumours = make([]byte, MaxDatagram/2)
 	for i := range 400 {
-		m.Rumours = append(m.Rumours, Rumour{IP: uint32(i), Age: 1000})
 		m.Stated = append(m.Stated, Load{Requests: i})
 	}
 	body := Encode(m)
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -95,6 +95,12 @@
 }
 
 func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	return newFleetWith(t, size, func(*entry.Settings) {})
+}
+
+// newFleetWith changes each instance's settings before it starts.
+func newFleetWith(t *testing.T, size int, change func(*entry.Settings)) *fleet {
 	t.Helper()
 	network, err := loopback.Claim()
 	if err != nil {
@@ -113,7 +119,9 @@
 	f.configure(testConfiguration{Version: 1, Keys: []string{oneKey, otherKey}, Path: "/p/"})
 	f.store.Put("engines/e1", []byte(strings.TrimPrefix(f.engine.URL, "http://")))
 	for i := range size {
-		f.nodes = append(f.nodes, &instance{settings: f.settings(i), client: f.store.Client()})
+		s := f.settings(i)
+		change(&s)
+		f.nodes = append(f.nodes, &instance{settings: s, client: f.store.Client()})
 	}
 	for i := range f.nodes {
 		f.start(i, true)
@@ -330,6 +338,61 @@
 	f.eventually(func() bool { return f.ask(0, oneKey, "/p/x") == http.StatusUnauthorized }, "the cut instance does not learn of the change")
 }
 
+// TestChangesArriveWhereTheStoreTurnsReadersAway has the store turn away its readers and one more instance; a change must be in force at
+// all others within the users' bound for the small sites.
+func TestChangesArriveWhereTheStoreTurnsReadersAway(t *testing.T) {
+	t.Parallel()
+	const size, rounds, bound = 9, 4, 2 * time.Second
+	tests := []struct {
+		name string
+		turn func(c *memstore.Client, away bool)
+	}{
+		{"refused", func(c *memstore.Client, away bool) { c.SetCut(away) }},
+		{"silent", func(c *memstore.Client, away bool) { c.SetSilent(away) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWith(t, size, func(s *entry.Settings) {
+				s.Bounds.KeyRevocation = tomlfile.NewDuration(5 * time.Second)
+				s.Bounds.Contact = tomlfile.NewDuration(3 * time.Second)
+			})
+			keys := []string{oneKey, otherKey}
+			for round := range rounds {
+				time.Sleep(bound)
+				before := make([]int, size)
+				for i, n := range f.nodes {
+					before[i] = n.client.Calls()
+				}
+				time.Sleep(bound)
+				away := make(map[int]bool)
+				for i, n := range f.nodes {
+					// A registration is renewed by one call in ten seconds.
+					if n.client.Calls() > before[i]+1 {
+						away[i] = true
+					}
+				}
+				away[round] = true
+				for i := range away {
+					tt.turn(f.nodes[i].client, true)
+				}
+				time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+				f.configure(testConfiguration{Version: routing.Version(round + 2), Keys: keys[(round+1)%2 : (round+1)%2+1], Path: "/p/"})
+				changed := time.Now()
+				for i := range f.nodes {
+					if !away[i] {
+						f.within(bound-time.Since(changed), func() bool { return f.ask(i, keys[(round+1)%2], "/p/x") == http.StatusOK }, "round %d: instance %d has not got the change", round, i)
+					}
+				}
+				t.Logf("round %d: %d turned away, in force after %s", round, len(away), time.Since(changed))
+				for i := range away {
+					tt.turn(f.nodes[i].client, false)
+				}
+			}
+		})
+	}
+}
+
 func TestLostHistoryIsReadAnew(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -26,9 +25,10 @@
 	announceFanOut = 16
 	// announcePause is the least time between two such rounds; changes in between wait for the next heartbeats.
 	announcePause = 100 * time.Millisecond
-	// holdersPerMessage, in questions, and rumoursPerMessage, in answers, keep heartbeats within the control budget.
+	// holdersPerMessage, in questions, and rumoursPerMessage, in answers, keep heartbeats within the control budget. With eight answers a
+	// second, each of 89 instances is heard of three times a second.
 	holdersPerMessage = 16
-	rumoursPerMessage = 8
+	rumoursPerMessage = 32
 	// holderSpan is how far back the holders of a heartbeat reach; in that time it meets nearly all instances of a small fleet.
 	holderSpan = 1200 * time.Millisecond
 	// statedPerMessage is how many engines' loads travel in a heartbeat, the highest first, and statedSpan how far back they reach.
@@ -192,12 +192,13 @@
 func (n *Instance) reply(asked boottime.Instant) heartbeat.Message {
 	b := n.withLoads(n.core())
 	now := boottime.Now()
+	var rumours []heartbeat.Rumour
 	for _, m := range n.members.Latest(rumoursPerMessage, now) {
-		if at, err := netip.ParseAddrPort(m.Peer); err == nil && at.Addr().Is4() {
-			ip := at.Addr().As4()
-			b.Rumours = append(b.Rumours, heartbeat.Rumour{IP: binary.BigEndian.Uint32(ip[:]), Age: heartbeat.MillisOf(now.Sub(m.Heard))})
+		if at, err := netip.ParseAddrPort(m.Peer); err == nil {
+			rumours = append(rumours, heartbeat.Rumour{IP: at.Addr(), Age: now.Sub(m.Heard)})
 		}
 	}
+	b.Rumours = heartbeat.PackRumours(rumours)
 	b.Answer = asked
 	b.Suspects = n.suspects.Rumours(suspectsPerMessage, time.Now())
 	return b
@@ -225,13 +226,16 @@
 }
 
 // rumours translates what a peer has heard into addresses at this fleet's port for peers.
-func (n *Instance) rumours(list []heartbeat.Rumour) []members.Rumour {
+func (n *Instance) rumours(packed []byte) []members.Rumour {
+	list, err := heartbeat.UnpackRumours(packed)
+	if err != nil {
+		n.unreceived(err)
+		return nil
+	}
 	rumours := make([]members.Rumour, 0, len(list))
 	for _, r := range list {
-		var ip [4]byte
-		binary.BigEndian.PutUint32(ip[:], r.IP)
-		if peer := n.peerAt(netip.AddrFrom4(ip)); peer != n.self {
-			rumours = append(rumours, members.Rumour{Peer: peer, Age: r.Age.Duration()})
+		if peer := n.peerAt(r.IP); peer != n.self {
+			rumours = append(rumours, members.Rumour{Peer: peer, Age: r.Age})
 		}
 	}
 	return rumours
--- a/process/entry/reading.go
+++ b/process/entry/reading.go
@@ -29,6 +29,8 @@
 	checkPeriod = 100 * time.Millisecond
 	// pagesLife is how long the pages of a read of everything are kept for its next one: half of the history that a store keeps.
 	pagesLife = 10 * time.Second
+	// successors is how many instances after the next readers hear that one has lost the store, since the next may have lost it too.
+	successors = 3
 	// startAsks is how many instances a starting one asks at once, of which most are alive unless all have just started.
 	startAsks = 4
 	// registrationLife is how long an instance stays registered after its end, and renewPeriod how often it renews.
@@ -67,7 +69,9 @@
 			}
 			failures++
 			n.metrics.Add("storeReadsFailed", 1)
-			n.storeLost.Store(failures > 1)
+			if ctx.Err() == nil && !n.storeLost.Swap(true) {
+				n.yieldReading()
+			}
 			pause.For(ctx, min(failPause<<min(failures-1, 3), failPauseMost))
 			continue
 		}
@@ -94,7 +98,18 @@
 	if n.stopping.Load() {
 		return false
 	}
-	all := []readers.Instance{}
+	all := n.candidates(alive)
+	if chosen := readers.Chosen(n.self, all); chosen != r.chosen {
+		r.chosen = chosen
+		n.log.Info("store reader", zap.Bool("chosen", chosen), zap.Int("candidates", len(all)))
+	}
+	draw := rand.Float64()
+	return r.chosen || n.settings.Load().schedule().Helps(age, checkPeriod, len(alive)+1, draw) || (n.storeLost.Load() && readers.Tries(checkPeriod, len(alive)+1, draw))
+}
+
+// candidates returns the instances that could read the store, as far as this one knows.
+func (n *Instance) candidates(alive []members.Member) []readers.Instance {
+	var all []readers.Instance
 	if !n.storeLost.Load() {
 		all = append(all, readers.Instance{Peer: n.self, Domain: n.settings.Load().Instance.FailureDomain})
 	}
@@ -103,11 +118,14 @@
 			all = append(all, readers.Instance{Peer: m.Peer, Domain: m.Domain})
 		}
 	}
-	if chosen := readers.Chosen(n.self, all); chosen != r.chosen {
-		r.chosen = chosen
-		n.log.Info("store reader", zap.Bool("chosen", chosen), zap.Int("candidates", len(all)))
+	return all
+}
+
+// yieldReading tells those that read next that this instance has lost the store: by chance alone word of it takes seconds in a large fleet.
+func (n *Instance) yieldReading() {
+	for _, peer := range readers.First(n.candidates(n.members.Alive(boottime.Now())), readers.Count+successors) {
+		n.send(peer, n.core(), budget.Urgent)
 	}
-	return r.chosen || n.schedule().Helps(age, checkPeriod, len(alive)+1, rand.Float64())
 }
 
 // readOnce brings the replica nearer to the store by one call: a watch where there is a replica, and otherwise the list of
@@ -121,7 +139,7 @@
 	}
 	if loaded && !r.compacted {
 		r.entries = nil
-		wait := n.schedule().Watch
+		wait := n.settings.Load().schedule().Watch
 		if n.proofAge(sent) > 2*wait {
 			wait = time.Millisecond
 		}
@@ -197,10 +215,6 @@
 	return nil
 }
 
-func (n *Instance) schedule() readers.Schedule {
-	return readers.NewSchedule(n.settings.Load().denyAge())
-}
-
 // news applies what was read and lets the other instances know.
 func (n *Instance) news(d mirror.Delta, proven boottime.Instant) {
 	if n.apply(d, proven) {
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/process/readers"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/tomlfile"
@@ -17,6 +18,8 @@
 	keyMargin = 500 * time.Millisecond
 	// defaultKeyAge applies where the platform sets no bound for revoked keys.
 	defaultKeyAge = 30 * time.Second
+	// defaultInForce applies where the platform does not say how soon a change must be in force; it is the users' bound for a large fleet.
+	defaultInForce = 5 * time.Second
 	// stopMargin is left of the time that the platform gives a process to stop.
 	stopMargin = 700 * time.Millisecond
 	// loadShare is the part of the allowed multiple of the mean load that choices use, since counts are a moment old.
@@ -51,6 +54,10 @@
 			KeyRevocation tomlfile.Duration `toml:"keyRevocation"`
 			// Contact is the time after which an instance without contact to the store counts as cut off.
 			Contact tomlfile.Duration `toml:"contact"`
+			// InForce is the time within which a change of the configuration must be in force, and Drain that within which an engine
+			// that leaves must get nothing new; both are 0 where there is no such bound.
+			InForce tomlfile.Duration `toml:"inForce"`
+			Drain   tomlfile.Duration `toml:"drain"`
 			// Shutdown is the time that the platform gives a process to stop.
 			Shutdown tomlfile.Duration `toml:"shutdown"`
 			// MaxAddressValidity bounds how long callers keep addresses.
@@ -127,6 +134,17 @@
 // denyAge returns the age up to which a configuration may call a route or key unknown.
 func (s *Settings) denyAge() time.Duration { return min(s.keyAge(), s.Bounds.Contact.Std()) }
 
+// schedule returns how this instance reads the store.
+func (s *Settings) schedule() readers.Schedule {
+	spread := defaultInForce
+	for _, bound := range []time.Duration{s.Bounds.InForce.Std(), s.Bounds.Drain.Std()} {
+		if bound > 0 {
+			spread = min(spread, bound)
+		}
+	}
+	return readers.NewSchedule(s.denyAge(), spread)
+}
+
 func (s *Settings) retryPolicy() retries.Policy {
 	return retries.Policy{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()}
 }
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -13,8 +13,11 @@
 	Count = 2
 	// longestWatch bounds how long a watch waits, so that the proof of a quiet store is never old.
 	longestWatch = time.Second
-	// watchesPerBound is how many watches fit into the age at which a configuration no longer decides.
-	watchesPerBound = 3
+	// watchesPerAge is how many watches fit into the age at which a configuration no longer decides.
+	watchesPerAge = 3
+	// watchesPerSpread is how many fit into the time within which a change must reach all instances: two until readers that get no
+	// answer are known to be lost, and two for others to help and to spread what they read.
+	watchesPerSpread = 4
 	// helpMargin is the time that a proof takes to the other instances, over two rounds of heartbeats.
 	helpMargin = 600 * time.Millisecond
 	// helpEvery is the mean pause between two reads of all helping instances together.
@@ -47,29 +50,34 @@
 	}
 )
 
-// NewSchedule returns the schedule for a configuration that decides up to an age; a proof is as old as the watch that brought it.
-func NewSchedule(decides time.Duration) Schedule {
-	watch := min(longestWatch, decides/watchesPerBound)
+// NewSchedule returns the schedule for a configuration that decides up to an age, and for changes that are to reach all instances within
+// a time; a proof is as old as the watch that brought it.
+func NewSchedule(decides, spread time.Duration) Schedule {
+	watch := min(longestWatch, decides/watchesPerAge, spread/watchesPerSpread)
 	return Schedule{Watch: watch, HelpAfter: 2*watch + helpMargin}
 }
 
-// Chosen reports whether an instance is one of the readers: the first of the instances by a hash, each of a failure domain of its own while there are enough.
-func Chosen(self string, all []Instance) bool {
+// Chosen reports whether an instance is one of the readers.
+func Chosen(self string, all []Instance) bool { return slices.Contains(First(all, Count), self) }
+
+// First returns the first instances by a hash, of which the first Count are the readers; each of these is of a failure domain of its own
+// while there are enough.
+func First(all []Instance, count int) []string {
 	candidates := rank.Equal(all, func(c Instance) string { return c.Peer })
 	order := rank.Order(rankKey, candidates, len(candidates))
 	taken := make(map[ident.Domain]bool)
-	var chosen []string
+	var first []string
 	for _, pass := range []bool{true, false} {
 		for _, i := range order {
 			c := all[i]
-			if len(chosen) >= Count || (pass && taken[c.Domain]) || slices.Contains(chosen, c.Peer) {
+			if len(first) >= count || (pass && (taken[c.Domain] || len(first) >= Count)) || slices.Contains(first, c.Peer) {
 				continue
 			}
 			taken[c.Domain] = true
-			chosen = append(chosen, c.Peer)
+			first = append(first, c.Peer)
 		}
 	}
-	return slices.Contains(chosen, self)
+	return first
 }
 
 // Starts reports whether a starting instance reads everything itself, rather than wait for a replica from another; listed
@@ -85,7 +93,12 @@
 
 // Helps reports whether an instance that is no reader is to read the store itself, since the last proof is too old; it is asked every step, with a random number from 0 to 1.
 func (s Schedule) Helps(proofAge, step time.Duration, instances int, draw float64) bool {
-	return proofAge >= s.HelpAfter && draw < share(step, instances)
+	return proofAge >= s.HelpAfter && Tries(step, instances, draw)
+}
+
+// Tries reports whether an instance that has lost the store is to try it again; it is asked like Helps.
+func Tries(step time.Duration, instances int, draw float64) bool {
+	return draw < share(step, instances)
 }
 
 // share is the chance with which one of some instances reads within a step, so that one of all does in each helpEvery.
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -10,14 +10,16 @@
 	"github.com/vanillaroute/vanillaroute/version/rank"
 )
 
-var schedule = NewSchedule(3 * time.Second)
+var schedule = NewSchedule(3*time.Second, 2*time.Second)
 
 // TestScheduleFitsTheBound: while readers work, no proof may reach the age at which a configuration no longer decides.
 func TestScheduleFitsTheBound(t *testing.T) {
 	for _, decides := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
-		s := NewSchedule(decides)
-		if oldest := 2 * s.Watch; oldest >= decides || oldest >= s.HelpAfter {
-			t.Errorf("decides up to %s: proofs of %s, help after %s", decides, oldest, s.HelpAfter)
+		for _, spread := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second} {
+			s := NewSchedule(decides, spread)
+			if oldest := 2 * s.Watch; oldest >= decides || oldest >= s.HelpAfter || oldest > spread/2 {
+				t.Errorf("decides up to %s, spreads within %s: proofs of %s, help after %s", decides, spread, oldest, s.HelpAfter)
+			}
 		}
 	}
 }
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -42,9 +42,11 @@
 
 	// Client is the way of one instance to the store; it can be cut.
 	Client struct {
-		store *Store
-		mu    sync.Mutex
-		cut   bool
+		store  *Store
+		mu     sync.Mutex
+		cut    bool
+		silent bool
+		calls  int
 	}
 )
 
@@ -104,8 +106,25 @@
 	c.store.wake()
 }
 
+// SetSilent lets calls of one way wait without an answer, or be answered again.
+func (c *Client) SetSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+// Calls returns how many calls came this way.
+func (c *Client) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 // Read returns a page of the entries below a prefix, in the order of keys.
 func (c *Client) Read(ctx context.Context, prefix, after string) (entry.Page, error) {
+	if err := c.answered(ctx); err != nil {
+		return entry.Page{}, err
+	}
 	page, err := c.page(prefix, after)
 	if err != nil {
 		return entry.Page{}, err
@@ -133,6 +152,9 @@
 
 // Watch returns the changes after a revision, or none after the wait.
 func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error) {
+	if err := c.answered(ctx); err != nil {
+		return nil, 0, err
+	}
 	s := c.store
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -148,6 +170,12 @@
 		if c.isCut() || s.down {
 			return nil, 0, errDown
 		}
+		if c.isSilent() {
+			s.mu.Unlock()
+			<-ctx.Done()
+			s.mu.Lock()
+			return nil, 0, ctx.Err()
+		}
 		news := slices.DeleteFunc(slices.Clone(s.history), func(e mirror.Entry) bool {
 			return e.Revision <= after || !strings.HasPrefix(e.Key, prefix)
 		})
@@ -169,7 +197,10 @@
 }
 
 // Lend stores a value; leases do not run out here.
-func (c *Client) Lend(_ context.Context, key string, value []byte, _ time.Duration) (string, error) {
+func (c *Client) Lend(ctx context.Context, key string, value []byte, _ time.Duration) (string, error) {
+	if err := c.answered(ctx); err != nil {
+		return "", err
+	}
 	c.store.mu.Lock()
 	err := c.call()
 	c.store.leases++
@@ -183,7 +214,10 @@
 }
 
 // Renew keeps a lease.
-func (c *Client) Renew(context.Context, string) error {
+func (c *Client) Renew(ctx context.Context, _ string) error {
+	if err := c.answered(ctx); err != nil {
+		return err
+	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	return c.call()
@@ -198,6 +232,24 @@
 	return nil
 }
 
+// answered counts a call of this way, and fails as ctx does where none is answered.
+func (c *Client) answered(ctx context.Context) error {
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	if !c.isSilent() {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (c *Client) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
 func (c *Client) isCut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
