perf(placing): requests about a hot subject are divided among engines

Word of a load takes about half a second to 89 instances, in which 40 requests about one subject come to the engine that holds it. Ruled out: wrong counts (each instance's view is what it was told, only late); slower heartbeats than planned. Change: each instance knows how often a subject is asked for from its own requests and from the holders that it is told of, and divides a hot one among as many preferred engines as its requests need before any load is known. Holders are told once each, not once for each reading, so that word of more of them fits into a heartbeat.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -109,6 +109,8 @@
 	best := Choice{Cost: math.Inf(1)}
 	bestTier, others := none, 0
 	order := preferences(list, r.Parts)
+	division := t.division(r.Parts, len(list), mean, limit, now)
+	turn := rand.IntN(division)
 	for i, e := range list {
 		if slices.Contains(r.Tried, e.ID) {
 			continue
@@ -116,7 +118,10 @@
 		s := t.state(e.Key)
 		c := t.cost(e, s, r, known, loads[i], now)
 		c.Mean = mean
-		if c.Cached < shared {
+		switch {
+		case division > 1 && order[i] != turn:
+			c.Cost += float64(shared)
+		case division == 1 && c.Cached < shared:
 			c.Cost += rankTokens * float64(order[i])
 		}
 		tier := withinBound
@@ -199,6 +204,7 @@
 		// The last part belongs to the request alone until it comes again.
 		if i < len(r.Parts)-1 || seen {
 			t.recent = append(t.recent, h)
+			t.noteAsked(h)
 		}
 	}
 	if over := len(t.recent) - maxRecent; over > 0 {
@@ -274,8 +280,11 @@
 	c := copies{tokens: make(map[engines.Key]int)}
 	sum := tokens(parts)
 	for i := len(parts) - 1; i >= 0; i-- {
-		holders, _ := t.parts.Peek(parts[i].ID)
-		for _, h := range holders {
+		known, ok := t.parts.Peek(parts[i].ID)
+		if !ok {
+			known = &knownPart{}
+		}
+		for _, h := range known.holders {
 			if _, known := c.tokens[h.Engine]; known || now.Sub(h.At) >= holderLife {
 				continue
 			}
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -18,8 +18,10 @@
 		// perSecond is the rate of all requests, hot the share of them that ask about one subject.
 		perSecond float64
 		hot       float64
-		subjects  int
-		lasts     time.Duration
+		// onset is when the subject becomes hot; the five seconds from then on are judged, or all after a third of the time where it is 0.
+		onset    time.Duration
+		subjects int
+		lasts    time.Duration
 	}
 
 	ending struct {
@@ -32,7 +34,7 @@
 // play returns the share of arrivals at engines that hold more than factor times the mean and three, and the share of prompts that were at the engine chosen or at the one that it fetches from, of those that any engine had read.
 func (c crowd) play(t *testing.T, factor float64, seed uint64) (over, cached float64) {
 	t.Helper()
-	const span, beat, fanOut, told = 15 * time.Second, 250 * time.Millisecond, 2, 10
+	const span, beat, fanOut, told, toldHolders = 15 * time.Second, 250 * time.Millisecond, 2, 8, 16
 	draws := rand.New(rand.NewPCG(seed, 1))
 	all := engines.NewList(list(llm, c.engines))
 	tables := make([]*Table, c.instances)
@@ -56,16 +58,19 @@
 		})
 		for ; !beatAt.After(now); beatAt = beatAt.Add(beat) {
 			for _, from := range tables {
-				for range 2 * fanOut {
+				// Questions carry loads and holders, answers loads only.
+				for message := range 2 * fanOut {
 					to := tables[draws.IntN(len(tables))]
 					to.NoteStated(from.Stated(now.Add(-600*time.Millisecond), told))
-					to.NoteHolders(from.Recent(now.Add(-1200*time.Millisecond), 24))
+					if message < fanOut {
+						to.NoteHolders(from.Recent(now.Add(-1200*time.Millisecond), toldHolders))
+					}
 				}
 			}
 		}
 		sent++
 		subject := fmt.Sprint("s", draws.IntN(c.subjects))
-		if draws.Float64() < c.hot {
+		if draws.Float64() < c.hot && !now.Before(start.Add(c.onset)) {
 			subject = "hot"
 		}
 		table := tables[draws.IntN(len(tables))]
@@ -75,7 +80,7 @@
 			t.Fatal("no engine was chosen")
 		}
 		load, mean := loads[choice.Engine.ID], float64(len(running))/float64(c.engines)
-		if now.After(start.Add(span / 3)) {
+		if c.judges(now, span) {
 			arrivals++
 			if len(read[subject]) > 0 {
 				prompts++
@@ -101,6 +106,16 @@
 	return float64(above) / float64(arrivals), float64(hits) / float64(prompts)
 }
 
+// judges reports whether arrivals at a moment count.
+func (c crowd) judges(now time.Time, span time.Duration) bool {
+	const window = 5 * time.Second
+	if c.onset == 0 {
+		return now.After(start.Add(span / 3))
+	}
+	since := now.Sub(start.Add(c.onset))
+	return since >= 0 && since < window
+}
+
 // TestManyInstancesKeepTheBound plays crowds against fleets whose instances know of each other's choices late and in part. The platform
 // allows 3 in 100 arrivals above twice the mean and three; 95 in 100 is the aim for reuse against rendezvous without a bound, which has all.
 func TestManyInstancesKeepTheBound(t *testing.T) {
@@ -116,6 +131,9 @@
 		{"nine instances, one hot subject", crowd{instances: 9, engines: 9, perSecond: 100, hot: 0.25, subjects: 100, lasts: 800 * time.Millisecond}, 0.95},
 		{"77 instances, even", crowd{instances: 77, engines: 140, perSecond: 800, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
 		{"77 instances, one hot subject", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.1, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
+		{"77 instances, a fifth about one subject", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.2, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
+		{"77 instances, a subject becomes hot", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.11, onset: 5 * time.Second, subjects: 1500, lasts: 400 * time.Millisecond}, 0.9},
+		{"nine instances, a subject becomes hot", crowd{instances: 9, engines: 9, perSecond: 70, hot: 0.3, onset: 5 * time.Second, subjects: 100, lasts: 800 * time.Millisecond}, 0.9},
 		{"77 instances, few subjects", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.05, subjects: 60, lasts: 800 * time.Millisecond}, 0.95},
 	}
 	for _, tt := range tests {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -24,6 +24,8 @@
 	firstRate = 20
 	// holderLife is how long an engine is taken to hold what it has read.
 	holderLife = 60 * time.Second
+	// sameWord is how far apart two words of one reading may seem to be, by the time that they were on their way.
+	sameWord = 20 * time.Millisecond
 	// remoteLife is how long the count of another instance is believed.
 	remoteLife = 2 * time.Second
 	// reportLife is how long the load that an engine stated is believed; requests last about as long.
@@ -79,7 +81,9 @@
 		policy  Policy
 		engines map[engines.Key]*state
 		remote  map[string]remote
-		parts   *simplelru.LRU[PartID, []Holder]
+		parts   *simplelru.LRU[PartID, *knownPart]
+		// asked is how often parts were asked for, by this instance and by those that told it.
+		asked heat
 		// recent are the holders that this instance has noted itself, oldest first.
 		recent []Holder
 		// rate is how many tokens of a prompt engines read in a millisecond, learnt from first answers.
@@ -111,6 +115,13 @@
 		answered time.Time
 	}
 
+	// knownPart is what is known of a part of prompts.
+	knownPart struct {
+		// holders are the engines that were last told to have read it, latest first.
+		holders []Holder
+		asked   heat
+	}
+
 	remote struct {
 		loads map[engines.Key]int
 		at    time.Time
@@ -119,7 +130,7 @@
 
 // New returns a table that knows of nothing.
 func New(p Policy) *Table {
-	parts, err := simplelru.NewLRU[PartID, []Holder](maxParts, nil)
+	parts, err := simplelru.NewLRU[PartID, *knownPart](maxParts, nil)
 	if err != nil {
 		panic(err)
 	}
@@ -172,17 +183,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range list {
-		t.noteHolder(h)
+		if t.noteHolder(h) {
+			t.noteAsked(h)
+		}
 	}
 }
 
-// Recent returns what this instance has noted since a time, newest first, at most limit of them.
+// Recent returns what this instance has noted since a time, newest first, at most limit of them; of an engine that has read a part
+// several times, the last time.
 func (t *Table) Recent(since time.Time, limit int) []Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	type reading struct {
+		part   PartID
+		engine engines.Key
+	}
+	told := make(map[reading]bool)
 	var list []Holder
 	for i := len(t.recent) - 1; i >= 0 && len(list) < limit && t.recent[i].At.After(since); i-- {
-		list = append(list, t.recent[i])
+		h := t.recent[i]
+		if r := (reading{h.Part, h.Engine}); !told[r] {
+			told[r] = true
+			list = append(list, h)
+		}
 	}
 	return list
 }
@@ -193,8 +216,8 @@
 	defer t.mu.Unlock()
 	var list []Holder
 	for _, part := range t.parts.Keys() {
-		holders, _ := t.parts.Peek(part)
-		list = append(list, holders...)
+		known, _ := t.parts.Peek(part)
+		list = append(list, known.holders...)
 	}
 	return list[max(len(list)-limit, 0):]
 }
@@ -310,12 +333,19 @@
 	return s
 }
 
-func (t *Table) noteHolder(h Holder) {
-	list, _ := t.parts.Get(h.Part)
+// noteHolder notes that an engine has read a part, and reports whether that is news.
+func (t *Table) noteHolder(h Holder) bool {
+	known, ok := t.parts.Get(h.Part)
+	if !ok {
+		known = &knownPart{}
+		t.parts.Add(h.Part, known)
+	}
 	kept := make([]Holder, 0, holdersPerPart)
 	kept = append(kept, h)
-	for _, old := range list {
+	news := true
+	for _, old := range known.holders {
 		if old.Engine == h.Engine {
+			news = h.At.Sub(old.At) > sameWord
 			if old.At.After(h.At) {
 				kept[0].At = old.At
 			}
@@ -325,7 +355,16 @@
 			kept = append(kept, old)
 		}
 	}
-	t.parts.Add(h.Part, kept)
+	known.holders = kept
+	return news
+}
+
+// noteAsked counts that a part of a prompt was asked for.
+func (t *Table) noteAsked(h Holder) {
+	t.asked.add(h.At)
+	if known, ok := t.parts.Peek(h.Part); ok {
+		known.asked.add(h.At)
+	}
 }
 
 func (s *state) state(requests int, at time.Time) {
