perf(placing): a stated load fades into the usual one

Ruled out: the hot subject (it begins later). Change: a load counts less the older it is, and the usual load takes its place. The played crowds now have engines of unequal speed that read prompts one after another and tell their load with the first answer, clumps, and a cold start. Conclusion: the mean is nearer to the truth; the loaded engines are not known yet.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -213,22 +213,39 @@
 	return w
 }
 
-// loads returns the requests at each engine, by all that is known, and their mean.
+// loads returns the requests at each engine, by all that is known, and their mean. A load that was stated a while ago tells little of
+// the present one, so that it counts less and the usual load more.
 func (t *Table) loads(list []engines.Engine, now time.Time) ([]int, float64) {
+	usual := t.usualLoad(list, now)
 	loads := make([]int, len(list))
 	sum := 0
 	for i, e := range list {
 		s := t.state(e.Key)
-		n := s.stated + s.begun
-		if now.Sub(s.statedAt) >= reportLife {
-			n = s.running + t.remoteLoad(e.Key, now)
+		if w := s.statedWeight(now); w > 0 {
+			loads[i] = int(math.Round(w*float64(s.stated)+(1-w)*usual)) + s.begun
+		} else {
+			loads[i] = s.running + t.remoteLoad(e.Key, now)
 		}
-		loads[i] = n
-		sum += n
+		sum += loads[i]
 	}
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
+// usualLoad returns the mean of the loads that engines have stated, the late ones counting more.
+func (t *Table) usualLoad(list []engines.Engine, now time.Time) float64 {
+	sum, weights := 0.0, 0.0
+	for _, e := range list {
+		s := t.state(e.Key)
+		w := s.statedWeight(now)
+		sum += w * float64(s.stated)
+		weights += w
+	}
+	if weights == 0 {
+		return 0
+	}
+	return sum / weights
+}
+
 // remoteLoad returns the requests of other instances at an engine that states no load itself.
 func (t *Table) remoteLoad(key engines.Key, now time.Time) int {
 	sum := 0
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -22,6 +22,12 @@
 		onset    time.Duration
 		subjects int
 		lasts    time.Duration
+		// cold says that the first five seconds are judged, in which nothing has been read yet.
+		cold bool
+		// uneven is how many times as long the slowest engines take as the fastest, of which they state nothing.
+		uneven float64
+		// clump is how many requests come at a time on average.
+		clump float64
 	}
 
 	ending struct {
@@ -29,6 +35,13 @@
 		engine ident.Engine
 		work   *Work
 	}
+
+	// report is an engine's word of its load, which comes with its first answer.
+	report struct {
+		at     time.Time
+		table  *Table
+		engine engines.Engine
+	}
 )
 
 // play returns the share of arrivals at engines that hold more than factor times the mean and three, and the share of prompts that were at the engine chosen or at the one that it fetches from, of those that any engine had read.
@@ -41,33 +54,18 @@
 	for i := range tables {
 		tables[i] = New(Policy{LoadBound: 1.5})
 	}
+	slowness := make(map[ident.Engine]float64)
+	for i, e := range all.Of(llm) {
+		slowness[e.ID] = 1 + max(c.uneven-1, 0)*float64(i)/float64(c.engines)
+	}
 	loads := make(map[ident.Engine]int)
 	read := make(map[string]map[ident.Engine]bool)
 	var running []ending
+	var reports []report
 	sent, arrivals, above, hits, prompts := 0, 0, 0, 0, 0
 	step := time.Duration(float64(time.Second) / c.perSecond)
-	beatAt := start
-	for now := start; now.Before(start.Add(span)); now = now.Add(step) {
-		running = slices.DeleteFunc(running, func(e ending) bool {
-			if e.at.After(now) {
-				return false
-			}
-			loads[e.engine]--
-			e.work.End()
-			return true
-		})
-		for ; !beatAt.After(now); beatAt = beatAt.Add(beat) {
-			for _, from := range tables {
-				// Questions carry loads and holders, answers loads only.
-				for message := range 2 * fanOut {
-					to := tables[draws.IntN(len(tables))]
-					to.NoteStated(from.Stated(now.Add(-600*time.Millisecond), told))
-					if message < fanOut {
-						to.NoteHolders(from.Recent(now.Add(-1200*time.Millisecond), toldHolders))
-					}
-				}
-			}
-		}
+	beatAt, now := start, start
+	arrive := func() {
 		sent++
 		subject := fmt.Sprint("s", draws.IntN(c.subjects))
 		if draws.Float64() < c.hot && !now.Before(start.Add(c.onset)) {
@@ -99,9 +97,43 @@
 		read[subject][choice.Engine.ID] = true
 		loads[choice.Engine.ID]++
 		work.Started(now)
-		lasts := time.Duration((0.5 + draws.Float64()) * float64(c.lasts))
+		lasts := time.Duration((0.5 + draws.Float64()) * slowness[choice.Engine.ID] * float64(c.lasts))
 		running = append(running, ending{at: now.Add(lasts), engine: choice.Engine.ID, work: work})
-		table.NoteReport(choice.Engine, Report{Running: loads[choice.Engine.ID]}, now)
+		reports = append(reports, report{at: now.Add(lasts / 4), table: table, engine: choice.Engine})
+	}
+	for ; now.Before(start.Add(span)); now = now.Add(step) {
+		running = slices.DeleteFunc(running, func(e ending) bool {
+			if e.at.After(now) {
+				return false
+			}
+			loads[e.engine]--
+			e.work.End()
+			return true
+		})
+		reports = slices.DeleteFunc(reports, func(r report) bool {
+			if r.at.After(now) {
+				return false
+			}
+			r.table.NoteReport(r.engine, Report{Running: loads[r.engine.ID]}, now)
+			return true
+		})
+		for ; !beatAt.After(now); beatAt = beatAt.Add(beat) {
+			for _, from := range tables {
+				// Questions carry loads and holders, answers loads only.
+				for message := range 2 * fanOut {
+					to := tables[draws.IntN(len(tables))]
+					to.NoteStated(from.Stated(now.Add(-600*time.Millisecond), told))
+					if message < fanOut {
+						to.NoteHolders(from.Recent(now.Add(-1200*time.Millisecond), toldHolders))
+					}
+				}
+			}
+		}
+		if c.clump <= 1 || draws.Float64() < 1/c.clump {
+			for range max(int(c.clump), 1) {
+				arrive()
+			}
+		}
 	}
 	return float64(above) / float64(arrivals), float64(hits) / float64(prompts)
 }
@@ -109,7 +141,7 @@
 // judges reports whether arrivals at a moment count.
 func (c crowd) judges(now time.Time, span time.Duration) bool {
 	const window = 5 * time.Second
-	if c.onset == 0 {
+	if c.onset == 0 && !c.cold {
 		return now.After(start.Add(span / 3))
 	}
 	since := now.Sub(start.Add(c.onset))
@@ -134,6 +166,8 @@
 		{"77 instances, a fifth about one subject", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.2, subjects: 1500, lasts: 800 * time.Millisecond}, 0.95},
 		{"77 instances, a subject becomes hot", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.11, onset: 5 * time.Second, subjects: 1500, lasts: 400 * time.Millisecond}, 0.9},
 		{"nine instances, a subject becomes hot", crowd{instances: 9, engines: 9, perSecond: 70, hot: 0.3, onset: 5 * time.Second, subjects: 100, lasts: 800 * time.Millisecond}, 0.9},
+		{"89 instances, all cold", crowd{instances: 89, engines: 140, perSecond: 800, subjects: 1250, lasts: 600 * time.Millisecond, cold: true, uneven: 2, clump: 3}, 0.9},
+		{"nine instances, all cold", crowd{instances: 9, engines: 9, perSecond: 60, subjects: 100, lasts: 600 * time.Millisecond, cold: true, uneven: 2, clump: 3}, 0.9},
 		{"77 instances, few subjects", crowd{instances: 77, engines: 140, perSecond: 800, hot: 0.05, subjects: 60, lasts: 800 * time.Millisecond}, 0.95},
 	}
 	for _, tt := range tests {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -30,6 +30,8 @@
 	remoteLife = 2 * time.Second
 	// reportLife is how long the load that an engine stated is believed; requests last about as long.
 	reportLife = 1500 * time.Millisecond
+	// loadFade is the time in which the weight of a stated load falls to a third; about half of the requests then are others.
+	loadFade = 500 * time.Millisecond
 	// slownessLife is how long the slowness that an engine stated is believed, which changes many times a second.
 	slownessLife = 400 * time.Millisecond
 	// failureHalfLife is the time in which the memory of a failure halves.
@@ -371,6 +373,15 @@
 	s.stated, s.statedAt, s.begun = requests, at, 0
 }
 
+// statedWeight returns how much the stated load still tells, from 1 down to 0 where it is too old.
+func (s *state) statedWeight(now time.Time) float64 {
+	age := now.Sub(s.statedAt)
+	if age >= reportLife {
+		return 0
+	}
+	return math.Exp(-max(age, 0).Seconds() / loadFade.Seconds())
+}
+
 // failure returns the share of late requests that the engine failed, fading with time.
 func (s *state) failure(now time.Time) float64 {
 	return s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failureHalfLife.Seconds())
