fix(placing): counts of the instances heard of stand for all

Cause: until engines state their loads, and always for plain services, an instance added up the counts of the others that it had heard of in two seconds: of 89, a third. Engines seemed to hold a third of what they held. Ruled out: counts that travel late (they are sent with each heartbeat). Change: the sum is taken for as many instances as there are.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -116,7 +116,7 @@
 			x.suspected, x.verdict = true, "the request crashed as many engines as it may"
 			break
 		}
-		choice, work, ok := x.Table.Choose(x.world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Tried: append(crashed, x.tried...)}, now)
+		choice, work, ok := x.Table.Choose(x.world.Engines, placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.world.Instances, Tried: append(crashed, x.tried...)}, now)
 		if !ok {
 			x.verdict = "no engine is left"
 			break
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -61,6 +61,8 @@
 		// Parts are the parts of the prompt; empty for requests of plain services.
 		Parts  []Part
 		Domain ident.Domain
+		// Instances is how many instances choose engines, this one included; 0 is 1.
+		Instances int
 		// Tried are engines that had the request before.
 		Tried []ident.Engine
 	}
@@ -100,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := all.Of(r.Service)
-	loads, mean := t.loads(list, now)
+	loads, mean := t.loads(list, r.Instances-1, now)
 	known := t.copies(all, r.Parts, now)
 	shared := sharedTokens(r.Parts)
 	limit := t.policy.LoadBound*mean + loadAllowance
@@ -215,7 +217,7 @@
 
 // loads returns the requests at each engine, by all that is known, and their mean. A load that was stated a while ago tells little of
 // the present one, so that it counts less and the usual load more.
-func (t *Table) loads(list []engines.Engine, now time.Time) ([]int, float64) {
+func (t *Table) loads(list []engines.Engine, others int, now time.Time) ([]int, float64) {
 	usual := t.usualLoad(list, now)
 	loads := make([]int, len(list))
 	sum := 0
@@ -224,7 +226,7 @@
 		if w := s.statedWeight(now); w > 0 {
 			loads[i] = int(math.Round(w*float64(s.stated)+(1-w)*usual)) + s.begun
 		} else {
-			loads[i] = s.running + t.remoteLoad(e.Key, now)
+			loads[i] = s.running + int(math.Round(t.remoteLoad(e.Key, others, now)))
 		}
 		sum += loads[i]
 	}
@@ -246,15 +248,17 @@
 	return sum / weights
 }
 
-// remoteLoad returns the requests of other instances at an engine that states no load itself.
-func (t *Table) remoteLoad(key engines.Key, now time.Time) int {
-	sum := 0
+// remoteLoad returns the requests of other instances at an engine that states no load itself: those of whom word has come lately
+// stand for all others.
+func (t *Table) remoteLoad(key engines.Key, others int, now time.Time) float64 {
+	sum, heard := 0, 0
 	for _, r := range t.remote {
 		if now.Sub(r.at) < remoteLife {
 			sum += r.loads[key]
+			heard++
 		}
 	}
-	return sum
+	return float64(sum) * float64(max(others, heard)) / float64(max(heard, 1))
 }
 
 func (t *Table) cost(e engines.Engine, s *state, r Request, known copies, load int, now time.Time) Choice {
