perf(placing): a new prompt goes by load more, and loaded engines are left earlier

Slow engines that read new prompts say late that they fall behind. Ruled out: the hot subject. Change: where an engine does not hold a prompt, each running request counts 100 tokens more; engines may hold 1 request instead of 2 beside 1.25 times the mean before some are sent elsewhere.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -21,7 +21,7 @@
 	loadAllowance = 2
 	// softBound and softAllowance are the multiple of the mean, and the requests beside, that an engine may hold before any is sent elsewhere.
 	softBound     = 1.25
-	softAllowance = 2
+	softAllowance = 1
 	// jitterTokens spreads instances over engines that hold a prompt alike.
 	jitterTokens = 60
 	// loadTokens is what one running request delays another one, in tokens of prompt read.
@@ -30,6 +30,9 @@
 	fetchShare = 0.2
 	// rankTokens is the cost of each engine that instances prefer for a prompt to one that doesn't hold it, so that they agree without a word.
 	rankTokens = 600
+	// newLoadTokens is the cost of each running request to a prompt that the engine does not hold, beside loadTokens: nothing is lost where
+	// another engine reads it.
+	newLoadTokens = 100
 	// domainTokens is the cost of another failure domain.
 	domainTokens = 50
 	// failureTokens is the cost of an engine that fails all of its requests.
@@ -124,7 +127,7 @@
 		case division > 1 && order[i] != turn:
 			c.Cost += float64(shared)
 		case division == 1 && c.Cached < shared:
-			c.Cost += rankTokens * float64(order[i])
+			c.Cost += rankTokens*float64(order[i]) + newLoadTokens*float64(loads[i])
 		}
 		tier := withinBound
 		if float64(loads[i]) > limit {
