fix(standin): a request that was read as its host crashed gets no answer

The engines' logs: engine-04 crashed at .296 and again for a request begun at .298, though it stays away for 100 ms: its handler had read a second request in the moment between the crash and the end of its connections, took the new life for its own, and crashed it too. So two engines crashed, one of them twice on paper. Change: a host serves nothing while it is away, and a request belongs to the life in which it was read. Test: TestRequestThatWasReadAsTheHostCrashedGetsNoAnswer; the test's bound is as it was.

--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -85,14 +85,18 @@
 	p.read(e.shape.DefaultTokens)
 	id := ident.Request(r.Header.Get("X-Request-Id"))
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
+	life := fault.LifeOf(r)
 	e.mu.Lock()
+	if e.host.Life() != life {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if e.faults.Leaving {
 		e.mu.Unlock()
 		http.Error(w, `{"error":{"message":"leaving"}}`, http.StatusServiceUnavailable)
 		return
 	}
 	crash := e.faults.CrashOnBody != "" && bytes.Contains(body, []byte(e.faults.CrashOnBody))
-	life := e.host.Life()
 	s, known := e.streams[id]
 	if !known || id == "" {
 		s = e.begin(id, p, from, r.Header.Get("X-Priority"))
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net"
@@ -24,12 +25,17 @@
 		handler http.Handler
 		address string
 
-		mu       sync.Mutex
-		server   *http.Server
-		life     int
+		mu     sync.Mutex
+		server *http.Server
+		life   int
+		// away says that the host has crashed and is not back yet.
+		away     bool
 		closed   bool
 		restarts sync.WaitGroup
 	}
+
+	// lifeKey finds a request's life in its context.
+	lifeKey struct{}
 )
 
 // UnmarshalJSON reads a count or a truth value.
@@ -79,6 +85,7 @@
 		return false
 	}
 	h.life++
+	h.away = true
 	server := h.server
 	h.mu.Unlock()
 	_ = server.Close()
@@ -100,13 +107,30 @@
 }
 
 func (h *Host) serve(ln net.Listener) {
-	server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(h.serveAlive), ReadHeaderTimeout: headerTimeout}
 	h.mu.Lock()
-	h.server = server
+	h.server, h.away = server, false
 	h.mu.Unlock()
 	go func() { _ = server.Serve(ln) }()
 }
 
+// serveAlive serves a request in the life that it came in; one that was read as the host crashed gets no answer.
+func (h *Host) serveAlive(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	life, away := h.life, h.away
+	h.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+	h.handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), lifeKey{}, life)))
+}
+
+// LifeOf returns how often its host had crashed before a request came.
+func LifeOf(r *http.Request) int {
+	life, _ := r.Context().Value(lifeKey{}).(int)
+	return life
+}
+
 func (h *Host) restart(away time.Duration) {
 	time.Sleep(away)
 	for range listenTries {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return
 	}
-	if s.crashes(body) {
+	if s.crashes(body, fault.LifeOf(r)) {
 		panic(http.ErrAbortHandler)
 	}
 	s.run(w, r, func(n int) any {
@@ -119,14 +119,14 @@
 }
 
 // crashes reports whether the body crashed the service, before the call ran.
-func (s *Service) crashes(body []byte) bool {
+func (s *Service) crashes(body []byte, life int) bool {
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
 	if f.CrashOnBody == "" || !bytes.Contains(body, []byte(f.CrashOnBody)) {
 		return false
 	}
-	s.host.Crash(s.host.Life(), time.Duration(f.RestartMs)*time.Millisecond)
+	s.host.Crash(life, time.Duration(f.RestartMs)*time.Millisecond)
 	return true
 }
 
