fix(home): an engine that answers is not down for a late report

Reports have a limit of their own; where the processor is short, all engines are late with them, and each late one makes its engine count as down, for longer each time. Ruled out: a lack of slots (48 chats for 80). Change: an engine that sent an event since it was asked is not down. Test: TestEngineThatAnswersIsNotDownThoughItsReportIsLate, failed before.

--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -35,6 +35,9 @@
 	// begun counts the requests handed over, and tells their ids.
 	begun chan ident.Request
 	count atomic.Int64
+	// stalled keeps the engine from reporting its load, and events sends one event of every answer.
+	stalled atomic.Bool
+	events  chan struct{}
 	// cut ends the answer of a request; forgotten answers one attempt to resume with "no such stream".
 	cut       map[ident.Request]chan struct{}
 	asked     chan ident.Request
@@ -43,7 +46,7 @@
 
 func newScriptedEngine(t *testing.T, ids ...ident.Request) *scriptedEngine {
 	t.Helper()
-	s := &scriptedEngine{begun: make(chan ident.Request, 16), cut: make(map[ident.Request]chan struct{}), asked: make(chan ident.Request, 16), forgotten: make(chan struct{})}
+	s := &scriptedEngine{begun: make(chan ident.Request, 16), cut: make(map[ident.Request]chan struct{}), asked: make(chan ident.Request, 16), forgotten: make(chan struct{}), events: make(chan struct{})}
 	for _, id := range ids {
 		s.cut[id] = make(chan struct{})
 	}
@@ -55,9 +58,16 @@
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 		s.begun <- id
-		select {
-		case <-s.cut[id]:
-		case <-r.Context().Done():
+		for open := true; open; {
+			select {
+			case <-s.events:
+				_, _ = io.WriteString(w, "data: {}\n\n")
+				_ = http.NewResponseController(w).Flush()
+			case <-s.cut[id]:
+				open = false
+			case <-r.Context().Done():
+				open = false
+			}
 		}
 		panic(http.ErrAbortHandler)
 	})
@@ -69,7 +79,13 @@
 		}
 		http.Error(w, "no such stream", http.StatusNotFound)
 	})
-	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"slots":8}`) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		if s.stalled.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, `{"slots":8}`)
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	s.server = httptest.NewServer(mux)
 	t.Cleanup(s.server.Close)
@@ -240,3 +256,35 @@
 		t.Errorf("%+v does not send the request to another home", *refusal)
 	}
 }
+
+// TestEngineThatAnswersIsNotDownThoughItsReportIsLate asks an engine for its load that answers requests, but has no time to report.
+func TestEngineThatAnswersIsNotDownThoughItsReportIsLate(t *testing.T) {
+	e := newScriptedEngine(t, "first")
+	s := newTestSet(t, strings.TrimPrefix(e.server.URL, "http://"))
+	submit(t, s, "first", "one")
+	await(t, e.begun, "first")
+	e.stalled.Store(true)
+	home, _ := s.home(testEngine)
+	polled := make(chan struct{})
+	go func() {
+		defer close(polled)
+		home.poll(t.Context())
+	}()
+	for open := true; open; {
+		select {
+		case e.events <- struct{}{}:
+		case <-polled:
+			open = false
+		}
+	}
+	if s.fleet.IsDown(testEngine, time.Now()) {
+		t.Error("the engine counts as down")
+	}
+	close(e.cut["first"])
+	close(e.forgotten)
+	<-e.asked
+	home.poll(t.Context())
+	if !s.fleet.IsDown(testEngine, time.Now()) {
+		t.Error("an engine that neither answers nor reports does not count as down")
+	}
+}
--- a/process/home/engine.go
+++ b/process/home/engine.go
@@ -284,12 +284,13 @@
 	return e.load() == 0
 }
 
-// poll asks the engine for its report and tells the fleet what it sees.
+// poll asks the engine for its report and tells the fleet what it sees; one that answers requests meanwhile is only late with it.
 func (e *Engine) poll(ctx context.Context) {
+	asked := time.Now()
 	report, err := e.client.Load(ctx)
 	now := time.Now()
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !e.answeredSince(asked) {
 			e.set.fleet.EngineDown(e.id, now)
 		}
 		return
@@ -298,3 +299,15 @@
 	e.set.fleet.MarkEngine(e.id, report.Leaving, now, now)
 	e.applyReport(report, now)
 }
+
+// answeredSince reports whether an event of any answer came from the engine after a time.
+func (e *Engine) answeredSince(t time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range e.active {
+		if a.last.After(t) && a.last.After(a.started) {
+			return true
+		}
+	}
+	return false
+}
