fix(placing): a surge of requests for one subject is sent to all instances at once

Callers: requests at engines that hold more than twice the mean load plus three (LIMIT). Cause: when a subject becomes hot, every instance sends its first requests for it to the same engine. It learns of the others' requests from heartbeats, which reach it after 250 to 500 ms; by then more than 30 requests wait at that engine. At a cold start it takes longer, since that engine is still reading the prompt and has reported no load. Change: two requests for a subject within 100 ms at one instance start a surge. It is sent to three instances, which send it on once, and all spread the subject over one engine for each six instances for a second. Small fleets are not affected. Surges follow the message in an extension, which instances of an earlier version ignore. Not shown: that this is what the users saw.

--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -67,6 +67,14 @@
 		Observations []byte
 		// Suspects lists requests that crashed engines.
 		Suspects []wire.Suspect
+		// Surges lists subjects of prompts for which requests suddenly rise. They are sent in an extension.
+		Surges []placing.PartID `msgpack:"-"`
+	}
+
+	// extension follows the message in a datagram. An instance of an earlier version ignores it, whereas it rejects a Message with another
+	// number of fields.
+	extension struct {
+		Surges []placing.PartID
 	}
 
 	// Millis is a duration in milliseconds. It takes at most three bytes of a message up to a minute.
@@ -139,8 +147,27 @@
 }
 
 // Encode returns the datagram of a heartbeat. A message that exceeds MaxDatagramBytes first loses its changes, then half of its holders
-// at a time, and last its loads and observations.
+// at a time, and last its loads and observations. The extension is not counted.
 func Encode(m Message) []byte {
+	body := encodeMessage(m)
+	if len(m.Surges) > 0 {
+		body = append(body, wire.Encode(extension{Surges: m.Surges})...)
+	}
+	return body
+}
+
+// Decode decodes the datagram of a heartbeat. It fails on malformed input.
+func Decode(body []byte) (Message, error) {
+	m, rest, err := wire.DecodeFirst[Message](body)
+	if err != nil || len(rest) == 0 {
+		return m, err
+	}
+	e, err := wire.Decode[extension](rest)
+	m.Surges = e.Surges
+	return m, err
+}
+
+func encodeMessage(m Message) []byte {
 	body := wire.Encode(m)
 	if len(body) > MaxDatagramBytes {
 		m.Changes, m.HasChanges = nil, false
@@ -241,7 +268,7 @@
 			pause.For(ctx, failureBackoff)
 			continue
 		}
-		m, err := wire.Decode[Message](buffer[:n])
+		m, err := Decode(buffer[:n])
 		if err != nil {
 			onError(errors.Wrapf(err, "decode heartbeat from %s", from))
 			continue
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
@@ -105,12 +107,24 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(Message{PeerAddress: "127.0.0.1:1", Holders: []PartHolder{{Age: 3}}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := wire.Decode[Message](data)
+		m, err := Decode(data)
 		if err != nil {
 			return
 		}
-		if _, err := wire.Decode[Message](Encode(m)); err != nil {
+		if _, err := Decode(Encode(m)); err != nil {
 			t.Fatalf("re-encoded %+v cannot be decoded: %v", m, err)
 		}
 	})
 }
+
+// TestExtensionIsIgnoredByEarlierVersions guards against heartbeats that instances of an earlier version, which decode only the message,
+// reject during an upgrade.
+func TestExtensionIsIgnoredByEarlierVersions(t *testing.T) {
+	body := Encode(Message{PeerAddress: "127.0.0.1:1", Surges: []placing.PartID{7, 9}})
+	if m, err := wire.Decode[Message](body); err != nil || m.PeerAddress != "127.0.0.1:1" {
+		t.Errorf("the message alone is %+v, %v", m, err)
+	}
+	if m, err := Decode(body); err != nil || !slices.Equal(m.Surges, []placing.PartID{7, 9}) {
+		t.Errorf("the surges are %v, %v", m.Surges, err)
+	}
+}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/process/entry"
 	"github.com/vanillaroute/vanillaroute/request/placing"
@@ -620,6 +623,39 @@
 	}
 }
 
+// TestSurgeIsSentOn guards against a surge of requests for one subject that only the receivers of the first messages learn of.
+func TestSurgeIsSentOn(t *testing.T) {
+	t.Parallel()
+	var peer *net.UDPConn
+	f := newFleetWith(t, 1, func(s *entry.Settings) {
+		address := net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.Instance.Peers.Addr().Next(), s.Instance.Peers.Port()))
+		var err error
+		if peer, err = net.ListenUDP("udp", address); err != nil {
+			t.Fatal(err)
+		}
+		s.Instance.Seeds = []tomlfile.Address{{AddrPort: address.AddrPort()}}
+	})
+	defer func() { _ = peer.Close() }()
+	message := heartbeat.Encode(heartbeat.Message{PeerAddress: "127.0.0.1:1", Surges: []placing.PartID{7}})
+	if _, err := peer.WriteToUDPAddrPort(message, f.nodes[0].settings.Instance.Peers.AddrPort); err != nil {
+		t.Fatal(err)
+	}
+	if err := peer.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for buffer := make([]byte, heartbeat.MaxDatagramBytes); ; {
+		size, err := peer.Read(buffer)
+		if err != nil {
+			t.Fatalf("the surge is not sent on: %v", err)
+		}
+		if m, err := heartbeat.Decode(buffer[:size]); err != nil {
+			t.Fatal(err)
+		} else if slices.Equal(m.Surges, []placing.PartID{7}) {
+			return
+		}
+	}
+}
+
 func TestMetricsAreServedAsTextAndAsExpvar(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -25,6 +25,10 @@
 	announceFanOut = 16
 	// announcePause is the minimum time between two announcements; changes in between go out with the next pings.
 	announcePause = 100 * time.Millisecond
+	// surgeFanOut is the number of instances to which a surge is sent at once. Each receiver sends it on, once.
+	surgeFanOut = 3
+	// surgesPerMessage bounds the number of surges in a heartbeat.
+	surgesPerMessage = 32
 	// holdersPerMessage bounds the holders in a ping, and observationsPerMessage the observations in an ack, to keep heartbeats within the
 	// control budget. A holder is an engine that has cached a part of a prompt. An observation says when another instance was last seen. With
 	// eight acks a second, an instance receives an observation of each of 89 instances three times a second.
@@ -102,6 +106,24 @@
 	}
 }
 
+// sendSurges sends subjects whose surges have started to a few instances, until ctx ends.
+func (n *Instance) sendSurges(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.table.SurgeStarted():
+			m := n.baseMessage()
+			surges := n.table.TakeNewSurges()
+			m.Surges = surges[:min(len(surges), surgesPerMessage)]
+			n.metrics.Add("surges", int64(len(m.Surges)))
+			for _, peer := range n.randomMembers(surgeFanOut) {
+				n.send(peer.Peer, m, budget.Membership)
+			}
+		}
+	}
+}
+
 // randomMembers returns at most count instances in random order.
 func (n *Instance) randomMembers(count int) []members.Member {
 	all := n.members.All(boottime.Now())
@@ -136,6 +158,7 @@
 	}
 	n.table.MergeBackoffs(backoffs, wall)
 	n.suspects.Merge(b.Suspects, wall)
+	n.table.MergeSurges(b.Surges, wall)
 	n.recordHolders(b.Holders, wall)
 	if b.EchoedSentAt > 0 {
 		n.applyAck(b)
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -198,6 +198,7 @@
 	}
 	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.handleHeartbeat, n.serveFetch, n.logMessageError) })
 	group.Go(func() error { return n.sendHeartbeats(groupCtx) })
+	group.Go(func() error { return n.sendSurges(groupCtx) })
 	group.Go(func() error { return n.followPeers(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
 	group.Go(func() error { return n.register(groupCtx) })
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -115,7 +115,7 @@
 	best := Choice{Cost: math.Inf(1)}
 	bestTier, available := noTier, 0
 	ranks := preferenceRanks(list, r.Parts)
-	width := t.spreadWidth(r.Parts, len(list), mean, limit, now)
+	width := t.spreadWidth(r.Parts, r.Instances, len(list), mean, limit, now)
 	slot := rand.IntN(width)
 	for i, e := range list {
 		if slices.Contains(r.Tried, e.ID) {
@@ -214,6 +214,9 @@
 			t.countRequest(h)
 		}
 	}
+	if len(r.Parts) > 1 && len(r.Tried) == 0 && surgeWidth(r.Instances) > 1 {
+		t.recordPlaced(r.Parts[len(r.Parts)-2].ID, now)
+	}
 	if over := len(t.recent) - maxRecent; over > 0 {
 		t.recent = append(t.recent[:0], t.recent[over:]...)
 	}
--- a/request/placing/hot.go
+++ b/request/placing/hot.go
@@ -37,20 +37,28 @@
 }
 
 // spreadWidth returns the number of engines over which the requests for the subject of a prompt are spread, so that each engine stays
-// below limit; the service has the given number of engines with the given mean load. A burst of requests for one subject can bring an
-// engine over its bound before other instances receive its load, so a hot subject is spread before the load is known.
-func (t *Table) spreadWidth(parts []Part, engines int, mean, limit float64, now time.Time) int {
+// below limit. The service has the given number of engines with the given mean load, and that many instances choose among them. A burst of
+// requests for one subject can bring an engine over its bound before other instances receive its load, so a hot or surging subject is
+// spread before the load is known.
+func (t *Table) spreadWidth(parts []Part, instances, engines int, mean, limit float64, now time.Time) int {
 	if len(parts) < 2 {
 		return 1
 	}
 	subject, ok := t.parts.Peek(parts[len(parts)-2].ID)
-	if !ok || subject.requests.valueAt(now) < minHotCount {
+	if !ok {
 		return 1
 	}
+	width := 1
+	if now.Before(subject.surge.until) {
+		width = surgeWidth(instances)
+	}
+	if subject.requests.valueAt(now) < minHotCount {
+		return min(width, engines)
+	}
 	// Each request counts once for each of its shared parts.
 	share := min(subject.requests.valueAt(now)/t.requests.valueAt(now)*float64(len(parts)-1), 1)
 	running := share * mean * float64(engines)
 	// Half of the free capacity is left for concurrent requests for other subjects.
 	free := max((limit-mean)/2, 1)
-	return min(max(int(math.Ceil(running/free)), 1), engines)
+	return min(max(int(math.Ceil(running/free)), width), engines)
 }
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -36,6 +36,13 @@
 		placement *Placement
 	}
 
+	// surgeMessage tells one instance of surges that another one has seen.
+	surgeMessage struct {
+		at       time.Time
+		to       *Table
+		subjects []PartID
+	}
+
 	// firstToken is the start of an answer, with which the engine reports its load.
 	firstToken struct {
 		at        time.Time
@@ -50,6 +57,7 @@
 func (w workload) simulate(t *testing.T, factor float64, seed uint64) (over, cached float64) {
 	t.Helper()
 	const span, heartbeatPeriod, fanOut, maxLoads, maxHolders = 15 * time.Second, 250 * time.Millisecond, 2, 8, 16
+	const surgeFanOut, messageDelay = 3, 5 * time.Millisecond
 	const tokensPerMilli = 38.0
 	draws := rand.New(rand.NewPCG(seed, 1))
 	all := engines.NewList(list(llm, w.engines))
@@ -67,9 +75,17 @@
 	// readUntil is when an engine has read all prompts sent to it, one after another.
 	readUntil := make(map[ident.Engine]time.Time)
 	var answers []firstToken
+	var surgeMessages []surgeMessage
 	sent, arrivals, above, hits, prompts := 0, 0, 0, 0, 0
 	step := time.Duration(float64(time.Second) / w.requestsPerSecond)
 	nextHeartbeat, now := start, start
+	sendSurges := func(from *Table) {
+		if subjects := from.TakeNewSurges(); len(subjects) > 0 {
+			for range surgeFanOut {
+				surgeMessages = append(surgeMessages, surgeMessage{now.Add(messageDelay), tables[draws.IntN(len(tables))], subjects})
+			}
+		}
+	}
 	arrive := func() {
 		sent++
 		subject := fmt.Sprint("s", draws.IntN(w.subjects))
@@ -82,6 +98,7 @@
 		if !ok {
 			t.Fatal("no engine was chosen")
 		}
+		sendSurges(table)
 		load, mean := loads[choice.Engine.ID], float64(len(running))/float64(w.engines)
 		if w.counted(now, span) {
 			arrivals++
@@ -133,6 +150,12 @@
 			a.table.RecordReport(a.engine, Report{Running: loads[a.engine.ID]}, now)
 			return true
 		})
+		for len(surgeMessages) > 0 && !surgeMessages[0].at.After(now) {
+			m := surgeMessages[0]
+			surgeMessages = surgeMessages[1:]
+			m.to.MergeSurges(m.subjects, now)
+			sendSurges(m.to)
+		}
 		for ; !nextHeartbeat.After(now); nextHeartbeat = nextHeartbeat.Add(heartbeatPeriod) {
 			for i, from := range tables {
 				// Heartbeats carry loads and holders, their answers loads only.
@@ -185,6 +208,9 @@
 		{"77 instances, a subject becomes hot", workload{instances: 77, engines: 140, requestsPerSecond: 800, hotShare: 0.11, hotFrom: 5 * time.Second, subjects: 1500, generationTime: 400 * time.Millisecond}, 0.9},
 		{"nine instances, a subject becomes hot", workload{instances: 9, engines: 9, requestsPerSecond: 70, hotShare: 0.3, hotFrom: 5 * time.Second, subjects: 100, generationTime: 800 * time.Millisecond}, 0.9},
 		{"89 instances, all cold", workload{instances: 89, engines: 140, requestsPerSecond: 740, subjects: 1250, generationTime: 300 * time.Millisecond, cold: true, slowestFactor: 2.5, burstSize: 3}, 0.9},
+		{"89 instances, a seventh become about one subject in bursts", workload{instances: 89, engines: 140, requestsPerSecond: 740, hotShare: 0.14, hotFrom: 5 * time.Second, subjects: 1250, generationTime: 400 * time.Millisecond, slowestFactor: 2.5, burstSize: 3}, 0.9},
+		{"89 instances, a quarter become about one subject in bursts", workload{instances: 89, engines: 140, requestsPerSecond: 740, hotShare: 0.25, hotFrom: 5 * time.Second, subjects: 1250, generationTime: 400 * time.Millisecond, slowestFactor: 2.5, burstSize: 3}, 0.9},
+		{"89 instances, all cold, a seventh about one subject", workload{instances: 89, engines: 140, requestsPerSecond: 740, hotShare: 0.14, subjects: 1250, generationTime: 300 * time.Millisecond, cold: true, slowestFactor: 2.5, burstSize: 3}, 0.9},
 		{"nine instances, all cold", workload{instances: 9, engines: 9, requestsPerSecond: 60, subjects: 100, generationTime: 600 * time.Millisecond, cold: true, slowestFactor: 2.5, burstSize: 3}, 0.9},
 		{"77 instances, few subjects", workload{instances: 77, engines: 140, requestsPerSecond: 800, hotShare: 0.05, subjects: 60, generationTime: 800 * time.Millisecond}, 0.95},
 	}
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -89,6 +89,9 @@
 		requests decayingCount
 		// recent are the holders that this instance has recorded from its own requests, oldest first.
 		recent []Holder
+		// newSurges are the subjects whose surges have started and were not sent to other instances yet.
+		newSurges    []PartID
+		surgeStarted chan struct{}
 		// prefillRate is the measured prefill rate in tokens per millisecond.
 		prefillRate float64
 	}
@@ -124,6 +127,7 @@
 		// holders are the engines that last read it, in the order in which this became known, latest first.
 		holders  []Holder
 		requests decayingCount
+		surge    surge
 	}
 
 	remoteLoads struct {
@@ -138,7 +142,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Table{policy: p, engines: make(map[engines.Key]*engineState), remote: make(map[string]remoteLoads), parts: parts, prefillRate: initialRate}
+	return &Table{policy: p, engines: make(map[engines.Key]*engineState), remote: make(map[string]remoteLoads), parts: parts, surgeStarted: make(chan struct{}, 1), prefillRate: initialRate}
 }
 
 // SetPolicy replaces the policy for later choices.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -105,9 +105,15 @@
 
 // Decode decodes a message from msgpack. It fails on malformed input.
 func Decode[M any](body []byte) (M, error) {
-	var message M
-	if err := msgpack.Unmarshal(body, &message); err != nil {
-		return message, errors.Wrapf(err, "decode %T", message)
+	message, _, err := DecodeFirst[M](body)
+	return message, err
+}
+
+// DecodeFirst decodes the first of several messages from msgpack, and returns the bytes after it. It fails on malformed input.
+func DecodeFirst[M any](body []byte) (message M, rest []byte, err error) {
+	reader := bytes.NewReader(body)
+	if err := msgpack.NewDecoder(reader).Decode(&message); err != nil {
+		return message, nil, errors.Wrapf(err, "decode %T", message)
 	}
-	return message, nil
+	return message, body[len(body)-reader.Len():], nil
 }
