feat(entry): failed fetches, lag and refused control bytes are visible

To tell apart why a change arrives late: 'replica not fetched' is a warning with its duration, 'configuration in force' says for how long the replica was behind, and counters hold the fetches, the failed ones and the control bytes that the budget refused.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -77,10 +77,15 @@
 }
 
 // Total returns the bytes sent of all kinds.
-func (u Usage) Total() int64 {
-	sum := int64(0)
-	for _, n := range u.Sent {
-		sum += n
+func (u Usage) Total() int64 { return sum(u.Sent) }
+
+// TotalRefused returns the bytes refused of all kinds.
+func (u Usage) TotalRefused() int64 { return sum(u.Refused) }
+
+func sum(bytes [kindCount]int64) int64 {
+	total := int64(0)
+	for _, n := range bytes {
+		total += n
 	}
-	return sum
+	return total
 }
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -167,6 +167,7 @@
 		n.sendAck(b)
 	}
 	if revision, _, loaded := n.mirror.State(); b.Revision > revision || !loaded {
+		n.behindSince.CompareAndSwap(0, int64(now))
 		select {
 		case n.aheadPeers <- peerRevision{peer: b.PeerAddress, revision: b.Revision}:
 		default:
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -123,6 +123,8 @@
 		storeUnreachable atomic.Bool
 		// aheadPeers queues peers whose replicas are ahead of this one.
 		aheadPeers chan peerRevision
+		// behindSince is the boottime.Instant at which this instance learned that the replica of a peer is ahead of its own, or 0.
+		behindSince atomic.Int64
 		// warm says that this instance knows which parts of prompts the engines have cached.
 		warm atomic.Bool
 		// announced is the boottime.Instant of the last announcement.
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -50,6 +50,7 @@
 	n.metrics.Gauge("engines_ready", func() float64 { return float64(n.snapshot.Load().engines.ReadyCount()) })
 	n.metrics.Gauge("instances_alive", func() float64 { return float64(len(n.members.Alive(boottime.Now())) + 1) })
 	n.metrics.Gauge("control_bytes_sent", func() float64 { return float64(n.controlBudget.Usage().Total()) })
+	n.metrics.Gauge("control_bytes_refused", func() float64 { return float64(n.controlBudget.Usage().TotalRefused()) })
 	n.metrics.Gauge("ready", func() float64 {
 		if n.state() == members.Ready {
 			return 1
--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -36,12 +36,13 @@
 	if len(changed) == 0 {
 		return false
 	}
+	behind := n.endLag(boottime.Now())
 	next := *n.snapshot.Load()
 	enginesChanged := false
 	for _, e := range changed {
 		switch {
 		case e.Key == n.platform.Keys.Configuration:
-			n.applyConfiguration(&next, e)
+			n.applyConfiguration(&next, e, behind)
 		case strings.HasPrefix(e.Key, n.platform.Keys.Engines):
 			n.applyEngine(e)
 			enginesChanged = true
@@ -58,9 +59,10 @@
 	return true
 }
 
-// applyConfiguration puts a configuration into force if it is valid and not older than the one in force. A deleted or invalid entry leaves the
+// applyConfiguration puts a configuration into force if it is valid and not older than the one in force. It logs for how long the replica was
+// behind. A deleted or invalid entry leaves the
 // last configuration in force.
-func (n *Instance) applyConfiguration(next *snapshot, entry mirror.Entry) {
+func (n *Instance) applyConfiguration(next *snapshot, entry mirror.Entry, behind time.Duration) {
 	if entry.Deleted {
 		return
 	}
@@ -74,7 +76,15 @@
 		return
 	}
 	next.configuration = c
-	n.log.Info("configuration in force", zap.Int64("version", int64(c.Version)), zap.Int64("revision", int64(entry.Revision)))
+	n.log.Info("configuration in force", zap.Int64("version", int64(c.Version)), zap.Int64("revision", int64(entry.Revision)), zap.Duration("behindMs", behind))
+}
+
+// endLag returns how long this replica was behind that of a peer before the last change, and 0 if it was not.
+func (n *Instance) endLag(now boottime.Instant) time.Duration {
+	if since := n.behindSince.Swap(0); since > 0 {
+		return now.Sub(boottime.Instant(since))
+	}
+	return 0
 }
 
 // applyEngine applies a changed entry of an engine. An invalid entry counts as deleted.
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -249,9 +249,11 @@
 func (n *Instance) fetchChanges(ctx context.Context, peer string) {
 	revision, _, _ := n.mirror.State()
 	sent := boottime.Now()
+	n.metrics.Add("replicaFetches", 1)
 	reply, err := heartbeat.Fetch(ctx, peer, heartbeat.FetchRequest{Since: revision})
 	if err != nil {
-		n.log.Debug("replica not fetched", zap.String("peer", peer), zap.Error(err))
+		n.metrics.Add("replicaFetchesFailed", 1)
+		n.log.Warn("replica not fetched", zap.String("peer", peer), zap.Int64("since", int64(revision)), zap.Duration("tookMs", boottime.Now().Sub(sent)), zap.Error(err))
 		return
 	}
 	if reply.ConfirmedAge >= 0 && reply.Delta.Revision >= revision {
