fix(upstream,forward): bytes of an engine that never end are cut off

Cause: io.LimitReader ends like a complete body, and heads, interim answers, answers to other requests and refusals had no bound. Change: sizelimit fails at the bound.

--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -85,6 +85,7 @@
 	Handler struct {
 		Dependencies
 		crashes *crashTracker
+		answers *answerBuffers
 		// problemLog logs requests that the first engine did not answer. If logging is over budget, its lines are dropped last.
 		problemLog *zap.Logger
 	}
@@ -93,7 +94,7 @@
 // New returns a Handler that logs under logs.RequestLogger.
 func New(deps Dependencies) *Handler {
 	deps.Log = deps.Log.Named(logs.RequestLogger)
-	return &Handler{Dependencies: deps, crashes: newCrashTracker(deps.Suspects), problemLog: deps.Log.Named("troubled")}
+	return &Handler{Dependencies: deps, crashes: newCrashTracker(deps.Suspects), answers: &answerBuffers{}, problemLog: deps.Log.Named("troubled")}
 }
 
 // hopHeaders are the header fields that apply to a single connection and are not forwarded.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -37,8 +37,9 @@
 	prefillTimeFactor = 3
 	// minFetchTokens is the smallest number of cached tokens worth fetching from another engine.
 	minFetchTokens = 64
-	// maxAnswerBytes bounds an answer that is buffered in memory until it is complete.
-	maxAnswerBytes = 8 << 20
+	// discardTimeout bounds how long the rest of a refusal is read, so that its connection can be used again, and maxDiscardBytes its size.
+	discardTimeout  = 50 * time.Millisecond
+	maxDiscardBytes = 64 << 10
 )
 
 // Results of one attempt.
@@ -182,7 +183,9 @@
 		if resp.Status == http.StatusMisdirectedRequest {
 			x.markUnreachable(e, time.Now())
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+		discard := time.AfterFunc(discardTimeout, cancel)
+		defer discard.Stop()
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
 		return resultNotRun
 	}
 	x.runs++
@@ -275,7 +278,8 @@
 
 // relayBuffered reads an answer to its end, checks it and writes it to the caller.
 func (x *exchange) relayBuffered(resp *upstream.Response, e engines.Engine, inFlight *placing.Placement) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := x.answers.read(resp.Body)
+	defer x.answers.release(body)
 	now := time.Now()
 	if err != nil {
 		x.reason = "the answer ended early: " + err.Error()
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -19,7 +19,7 @@
 	// stallTimeoutFactor is the multiple of the route's target event gap after which a resumable stream moves to another engine.
 	stallTimeoutFactor = 2.5
 	eventBufferBytes   = 1 << 10
-	maxEventBytes      = 1 << 20
+	maxEventBytes      = 256 << 10
 )
 
 // stream is the state of a streamed answer of which the caller has received a part.
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"golang.org/x/sys/unix"
 )
 
@@ -27,6 +29,10 @@
 	readBufferBytes = 2 << 10
 	// inlineWriteBytes is the largest request that is written before the answer is read. Larger ones are written concurrently.
 	inlineWriteBytes = 8 << 10
+	// maxSkippedBytes bounds the body of an answer to another request. At most maxSkippedAnswers interim answers and answers to other
+	// requests are skipped.
+	maxSkippedBytes   = 1 << 20
+	maxSkippedAnswers = 16
 	// idleMargin is subtracted from the idle time-out that an engine states, to allow for network delay.
 	idleMargin = 500 * time.Millisecond
 	// defaultMaxIdle is the idle time-out of a connection if the engine states none.
@@ -37,6 +43,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// bound limits the bytes that reader takes from the connection.
+	bound *sizelimit.Reader
 	// lastUsed is the time at which the last answer ended.
 	lastUsed time.Time
 	// maxIdle is the idle time-out of the connection.
@@ -66,7 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), maxIdle: defaultMaxIdle}, nil
+	bound := &sizelimit.Reader{Reader: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound, maxIdle: defaultMaxIdle}, nil
 }
 
 // Close closes the connection. Further calls do nothing and return nil.
@@ -100,8 +109,8 @@
 	return err == nil && nothingToRead
 }
 
-// roundTrip writes the request and reads answers until one matches it. It skips interim answers and answers to other requests. The
-// channel receives the result of writing the request.
+// roundTrip writes the request and reads answers until one matches it. It skips interim answers and answers to other requests, within
+// bounds. The channel receives the result of writing the request.
 func (c *conn) roundTrip(method string, raw []byte, matches func(http.Header) bool) (*http.Response, <-chan error, error) {
 	written := make(chan error, 1)
 	if len(raw) <= inlineWriteBytes {
@@ -116,7 +125,8 @@
 			written <- err
 		}()
 	}
-	for {
+	for range maxSkippedAnswers {
+		c.bound.Allow(sizelimit.MaxHeadBytes)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read answer")
@@ -126,15 +136,18 @@
 		}
 		if matches(resp.Header) {
 			c.readKeepAlive(resp.Header)
+			c.bound.Allow(math.MaxInt64)
 			return resp, written, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, nil, errors.New("unframed answer to another request")
 		}
+		c.bound.Allow(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, nil, errors.Wrap(err, "skip answer to another request")
 		}
 	}
+	return nil, nil, errors.Errorf("none of %d answers belongs to the request", maxSkippedAnswers)
 }
 
 // readKeepAlive sets maxIdle from the time-out in the Keep-Alive field, if there is one.
--- /dev/null
+++ b/sizelimit/doc.go
@@ -0,0 +1,2 @@
+// Package sizelimit bounds the bytes that are read from a peer, and fails where io.LimitReader would end like a complete message.
+package sizelimit
