--- a/caller/caller.go
+++ b/caller/caller.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
 
@@ -126,7 +126,7 @@
 		return Response{}, errors.Wrap(err, "call service")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := sizelimit.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return Response{}, errors.Wrap(err, "read response")
 	}
@@ -196,7 +196,7 @@
 		return errors.Wrap(err, "call router")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := sizelimit.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return errors.Wrap(err, "read response")
 	}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 )
 
 const maxLineBytes = 1 << 20
@@ -156,7 +157,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
-		respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+		respBody, err := sizelimit.ReadAll(resp.Body, maxResponseBytes)
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 )
 
 // Headers between routers and engines in addition to those of the OpenAI interface.
@@ -94,10 +95,11 @@
 // NewTransport returns an HTTP transport to be shared by the clients of all engines. It dials with Dial.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         Dial,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            Dial,
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: sizelimit.MaxHeadBytes,
 	}
 }
 
@@ -190,7 +192,7 @@
 	if stream {
 		return readEvents(resp.Body, event)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := sizelimit.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return &TruncatedError{Cause: err}
 	}
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
 
@@ -83,12 +84,10 @@
 		return wire.ServiceAnswer{}, &LostError{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	answer, err := sizelimit.ReadAll(resp.Body, maxAnswerBytes)
 	switch {
 	case err != nil:
 		return wire.ServiceAnswer{}, &LostError{Cause: err}
-	case len(answer) > maxAnswerBytes:
-		return wire.ServiceAnswer{}, &LostError{Cause: errors.New("answer too large")}
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true":
 		return wire.ServiceAnswer{}, &NotRunError{Cause: errors.New("instance refused the call")}
 	}
