fix(entry): changes too large for a watch are read as entries

Callers: changes that never come into force while a large configuration changes often (CONFIG). Cause: a watch brings each version since the replica's revision, in full, and had 0.7 s beyond its wait, or 8 MB. A reader that was a few versions of 0.5 MB behind on a link of 10 Mbit/s failed, and asked for the same and more the next time; so did every instance that took over from it. Change: a reply that begins but does not arrive in time, or is over its limit, is an IncompleteReplyError, and the reader reads all entries once: one value for each key.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -409,6 +409,41 @@
 	}
 }
 
+// TestChangeArrivesAfterMoreVersionsThanAWatchCanCarry guards against a reader that asks again and again for more versions of a large
+// configuration than arrive within the time-out of a watch.
+func TestChangeArrivesAfterMoreVersionsThanAWatchCanCarry(t *testing.T) {
+	t.Parallel()
+	const (
+		versions, keysPerVersion = 12, 12_000
+		// linkBytesPerSecond is the bandwidth of the users' slowest links, 10 Mbit/s.
+		linkBytesPerSecond = 1_250_000
+		bound              = 5 * time.Second
+	)
+	f := newFleetWith(t, 3, func(s *entry.Settings) {
+		s.Bounds.KeyRevocation = tomlfile.NewDuration(5 * time.Second)
+		s.Bounds.Contact = tomlfile.NewDuration(4 * time.Second)
+		s.Bounds.InForce = tomlfile.NewDuration(3 * time.Second)
+	})
+	f.store.SetReadBandwidth(linkBytesPerSecond)
+	for _, n := range f.nodes {
+		n.client.SetDisconnected(true)
+	}
+	for version := range versions {
+		keys := make([]string, keysPerVersion)
+		for i := range keys {
+			keys[i] = fmt.Sprintf("key-%015d", i)
+		}
+		f.configure(testConfiguration{Version: routing.Version(version + 2), Keys: append(keys, otherKey), Path: fmt.Sprint("/", version, "/")})
+	}
+	for _, n := range f.nodes {
+		n.client.SetDisconnected(false)
+	}
+	changed := time.Now()
+	for i := range f.nodes {
+		f.within(bound-time.Since(changed), func() bool { return f.ask(i, otherKey, fmt.Sprint("/", versions-1, "/x")) == http.StatusOK }, "instance %d does not have the last version", i)
+	}
+}
+
 // TestStartWithoutTheStore restarts an instance that cannot reach the store: it must get its replica from its peers.
 func TestStartWithoutTheStore(t *testing.T) {
 	t.Parallel()
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -51,7 +51,7 @@
 		// Read returns a page of the entries whose keys start with prefix and are greater than after.
 		Read(ctx context.Context, prefix, after string) (Page, error)
 		// Watch returns the changes after a revision as soon as there are any, or none after wait, and the revision reached. It fails with
-		// *CompactedError if the store no longer keeps these changes.
+		// *CompactedError if the store no longer keeps these changes, and with *IncompleteReplyError if they are too many to arrive in time.
 		Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error)
 		// PutWithLease stores a value under a new lease and returns the lease. The store deletes the value when the lease expires.
 		PutWithLease(ctx context.Context, key string, value []byte, ttl time.Duration) (string, error)
@@ -98,6 +98,9 @@
 		WriteDirectory func(w http.ResponseWriter, addresses []string, validity time.Duration)
 	}
 
+	// IncompleteReplyError reports that a reply of the store has begun but did not arrive in time, or is too large.
+	IncompleteReplyError struct{ Cause error }
+
 	// CompactedError reports that the store no longer keeps all changes after the revision After.
 	CompactedError struct{ After ident.Revision }
 
@@ -154,6 +157,12 @@
 // Error implements error.
 func (e *CompactedError) Error() string { return "the history was compacted" }
 
+// Error implements error.
+func (e *IncompleteReplyError) Error() string { return "incomplete reply: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *IncompleteReplyError) Unwrap() error { return e.Cause }
+
 // New returns an instance that does not run yet. It fails if it cannot listen on its peer address.
 func New(s Settings, p Platform, log *zap.Logger, now time.Time) (*Instance, error) {
 	heartbeats, err := heartbeat.Listen(s.Instance.Peers.String())
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -51,8 +51,9 @@
 	entries     []mirror.Entry
 	confirmedAt boottime.Instant
 	revision    ident.Revision
-	// compacted says that a full read is needed in spite of a replica, since the store has dropped the changes after its revision.
-	compacted bool
+	// needsFullRead says that a full read is needed in spite of a replica, since the store has dropped the changes after its revision, or
+	// these are too large for one reply. A full read brings each value once, whereas a watch brings each version of it.
+	needsFullRead bool
 	// isReader says that this instance is one of the readers, according to the instances that it knows to be alive.
 	isReader bool
 }
@@ -143,7 +144,7 @@
 	if !loaded && !r.listed {
 		return n.listPeers(ctx, r)
 	}
-	if loaded && !r.compacted {
+	if loaded && !r.needsFullRead {
 		r.entries = nil
 		wait := n.settings.Load().schedule().WatchTimeout
 		if n.replicaAge(sent) > 2*wait {
@@ -153,16 +154,21 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		defer cancel()
 		changes, at, err := n.platform.Store.Watch(ctx, "", revision, wait)
-		var compacted *CompactedError
 		if err == nil {
 			n.applyAndAnnounce(mirror.Delta{Entries: changes, Revision: at}, sent)
 			return nil
 		}
-		if !errors.As(err, &compacted) {
+		var compacted *CompactedError
+		var incomplete *IncompleteReplyError
+		switch {
+		case errors.As(err, &compacted):
+			n.log.Info("store dropped its history", zap.Int64("after", int64(revision)))
+		case errors.As(err, &incomplete):
+			n.log.Warn("changes in the store did not arrive in time, reading all entries", zap.Int64("after", int64(revision)), zap.Error(err))
+		default:
 			return err
 		}
-		n.log.Info("store dropped its history", zap.Int64("after", int64(revision)))
-		r.compacted = true
+		r.needsFullRead = true
 	}
 	return n.readPage(ctx, r)
 }
@@ -220,7 +226,7 @@
 		return nil
 	}
 	n.applyAndAnnounce(mirror.Delta{Full: true, Entries: r.entries, Revision: r.revision}, r.confirmedAt)
-	r.entries, r.compacted = nil, false
+	r.entries, r.needsFullRead = nil, false
 	return nil
 }
 
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return entry.Page{}, err
 	}
-	return page, c.store.throttle(ctx, page)
+	return page, c.store.throttle(ctx, page.Entries)
 }
 
 func (c *Client) page(prefix, after string) (entry.Page, error) {
@@ -152,8 +152,20 @@
 }
 
 // Watch waits up to wait for changes after a revision and returns them, or none, with the current revision. It returns an
-// *entry.CompactedError if the history after that revision has been dropped.
+// *entry.CompactedError if the history after that revision has been dropped, and an *entry.IncompleteReplyError if ctx ends while the
+// changes arrive.
 func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error) {
+	changes, at, err := c.watch(ctx, prefix, after, wait)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := c.store.throttle(ctx, changes); err != nil {
+		return nil, 0, &entry.IncompleteReplyError{Cause: err}
+	}
+	return changes, at, nil
+}
+
+func (c *Client) watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error) {
 	if err := c.admitCall(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -275,8 +287,8 @@
 	return s.revision
 }
 
-// throttle sleeps for the time that the page takes at the limited bandwidth, in turns with other readers.
-func (s *Store) throttle(ctx context.Context, p entry.Page) error {
+// throttle sleeps for the time that entries take at the limited bandwidth, in turns with other readers.
+func (s *Store) throttle(ctx context.Context, entries []mirror.Entry) error {
 	s.mu.Lock()
 	bytesPerSecond := s.readBytesPerSecond
 	s.mu.Unlock()
@@ -284,7 +296,7 @@
 		return nil
 	}
 	bytes := 0
-	for _, e := range p.Entries {
+	for _, e := range entries {
 		bytes += len(e.Key) + len(e.Value)
 	}
 	for ; bytes > 0 && ctx.Err() == nil; bytes -= deliveryChunkBytes {
