fix(entry): a silent peer does not hold up the fetch from a live one

Cause: changes were fetched from one peer after the other, with 0.8 s for each. Peers that announced a change and were then cut off or frozen each cost that time, in a queue of up to 16, while live peers had the change. Change: after 150 ms without the first byte of a reply the next peer is asked too. A fetch fails after 0.8 s without progress instead of 0.8 s in all, since the links of instances that several others fetch from are slower. Evidence: TestChangeArrivesPastSilentPeers, eight silent peers, bound 2 s: failed before (6.4 s by calculation).

--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -27,8 +27,12 @@
 	// Unconfirmed is the confirmed age of a replica that was never confirmed to be current.
 	Unconfirmed = time.Duration(-1)
 
-	// fetchTimeout bounds a fetch: 10,000 engines take 0.5 MB compressed, which needs 0.4 s on the slowest links.
-	fetchTimeout = 800 * time.Millisecond
+	// stallTimeout bounds each pause within a fetch, and fetchTimeout the whole fetch: 10,000 engines take 0.5 MB compressed, which needs
+	// 0.4 s on the slowest links, and several instances may fetch from the same one.
+	stallTimeout = 800 * time.Millisecond
+	fetchTimeout = 4 * time.Second
+	// chunkBytes is the size of the writes of a reply; stallTimeout applies to each.
+	chunkBytes = 16 << 10
 	// failureBackoff keeps a failing listener from spinning.
 	failureBackoff = 10 * time.Millisecond
 )
@@ -210,18 +214,18 @@
 	return group.Wait()
 }
 
-// Fetch requests changes or cached parts from the instance at an address. The reply's ConfirmedAge is relative
-// to the time of the request.
-func Fetch(ctx context.Context, from string, request FetchRequest) (FetchReply, error) {
+// Fetch requests changes or cached parts from the instance at an address, and calls began when the first byte of the reply arrives. The
+// reply's ConfirmedAge is relative to the time of the request.
+func Fetch(ctx context.Context, from string, request FetchRequest, began func()) (FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", from)
+	d := net.Dialer{Timeout: stallTimeout}
+	raw, err := d.DialContext(ctx, "tcp", from)
 	if err != nil {
 		return FetchReply{}, errors.Wrap(err, "connect to peer")
 	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+	defer func() { _ = raw.Close() }()
+	conn := newProgressConn(raw, time.Now(), began)
 	if err := wire.Write(conn, wire.Frame{Kind: wire.KindCall, Body: wire.Encode(request)}); err != nil {
 		return FetchReply{}, err
 	}
@@ -296,9 +300,9 @@
 	}
 }
 
-func answer(conn net.Conn, serve func(FetchRequest) FetchReply) error {
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+func answer(raw net.Conn, serve func(FetchRequest) FetchReply) error {
+	defer func() { _ = raw.Close() }()
+	conn := newProgressConn(raw, time.Now(), nil)
 	f, err := wire.Read(conn)
 	if err != nil {
 		return err
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -444,6 +445,42 @@
 	}
 }
 
+// TestChangeArrivesPastSilentPeers guards against an instance that waits for one silent peer after the other, although a live one has the
+// change.
+func TestChangeArrivesPastSilentPeers(t *testing.T) {
+	t.Parallel()
+	const (
+		silentPeers, firstSilent = 8, 20
+		bound                    = 2 * time.Second
+		// minKeys makes the configuration too large for a heartbeat.
+		minKeys = 100
+	)
+	f := newFleet(t, 3)
+	f.nodes[0].client.SetDisconnected(true)
+	conn, err := net.Dial("udp", f.nodes[0].settings.Instance.Peers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	for i := range silentPeers {
+		// A listener that never accepts completes connections and sends nothing.
+		listener, err := net.Listen("tcp", f.network.Address(firstSilent+i, f.nodes[0].settings.Instance.Peers.Port()).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		if _, err := conn.Write(heartbeat.Encode(heartbeat.Message{PeerAddress: listener.Addr().String(), Revision: math.MaxInt32})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keys := []string{otherKey}
+	for i := range minKeys {
+		keys = append(keys, fmt.Sprintf("key-%015d", i))
+	}
+	f.configure(testConfiguration{Version: 2, Keys: keys, Path: "/p/"})
+	f.within(bound, func() bool { return f.ask(0, oneKey, "/p/x") == http.StatusUnauthorized }, "the change does not arrive")
+}
+
 // TestStartWithoutTheStore restarts an instance that cannot reach the store: it must get its replica from its peers.
 func TestStartWithoutTheStore(t *testing.T) {
 	t.Parallel()
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -33,6 +33,8 @@
 	// extraNotifiedReaders is how many instances beyond the next readers are notified that this one cannot reach the store, since the next
 	// readers may not reach it either.
 	extraNotifiedReaders = 3
+	// silentPeerDelay is how long a peer may be silent before the changes are fetched from another one too.
+	silentPeerDelay = 150 * time.Millisecond
 	// startupFanOut is how many instances a starting one pings at once. Most of these are alive, unless the whole fleet has just started.
 	startupFanOut = 4
 	// registrationTTL is how long an instance stays registered after its end, and renewPeriod how often it renews its registration.
@@ -245,18 +247,36 @@
 			return ctx.Err()
 		case ahead := <-n.aheadPeers:
 			if revision, _, loaded := n.mirror.State(); ahead.revision > revision || !loaded {
-				n.fetchChanges(ctx, ahead.peer)
+				n.fetchFrom(ctx, ahead.peer)
 			}
 		}
 	}
 }
 
-// fetchChanges fetches from a peer the changes of the store that this replica lacks.
-func (n *Instance) fetchChanges(ctx context.Context, peer string) {
+// fetchFrom fetches changes from a peer. It returns when the fetch has ended, or after silentPeerDelay without a reply, so that another peer
+// can be asked; the fetch goes on then.
+func (n *Instance) fetchFrom(ctx context.Context, peer string) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.fetchChanges(ctx, peer, func() { close(began) })
+	}()
+	silence := time.NewTimer(silentPeerDelay)
+	defer silence.Stop()
+	select {
+	case <-ended:
+	case <-silence.C:
+	case <-began:
+		<-ended
+	}
+}
+
+// fetchChanges fetches from a peer the changes of the store that this replica lacks, and calls began when the reply begins.
+func (n *Instance) fetchChanges(ctx context.Context, peer string, began func()) {
 	revision, _, _ := n.mirror.State()
 	sent := boottime.Now()
 	n.metrics.Add("replicaFetches", 1)
-	reply, err := heartbeat.Fetch(ctx, peer, heartbeat.FetchRequest{Since: revision})
+	reply, err := heartbeat.Fetch(ctx, peer, heartbeat.FetchRequest{Since: revision}, began)
 	if err != nil {
 		n.metrics.Add("replicaFetchesFailed", 1)
 		n.log.Warn("replica not fetched", zap.String("peer", peer), zap.Int64("since", int64(revision)), zap.Duration("tookMs", boottime.Now().Sub(sent)), zap.Error(err))
