fix(readers): the next instances read in a fixed order when the readers fall silent

Callers: instances in touch serve an old configuration beyond the bound when both readers are cut off at the moment of a change (CONFIG). Cause: others notice by the age of the last confirmation, after two watches and a round of heartbeats (2.1 s of the grown sites' 3 s), and then one of them helped at random, on average after 0.4 s, but after more than 0.15 s in two of three cases. The change still has to be read and spread. Evidence: TestSilentReadersAreReplacedInTime cuts off both readers and 35% of the others. Change: watches are shorter (six in the bound, from four), and eight instances, in the order in which they would become readers, help one after the other, 50 ms apart, before others do so at random. Cost: 1.5 times the watches, two readers with a watch each 0.5 s at the grown sites.

--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -106,13 +106,14 @@
 		return false
 	}
 	all := n.candidates(alive)
-	if isReader := readers.IsReader(n.self, all); isReader != r.isReader {
+	position := readers.Position(n.self, all)
+	if isReader := position < readers.Count; isReader != r.isReader {
 		r.isReader = isReader
 		// Logged when this instance becomes a reader or stops being one.
 		n.log.Info("store reader", zap.Bool("chosen", isReader), zap.Int("candidates", len(all)))
 	}
 	random := rand.Float64()
-	return r.isReader || n.settings.Load().schedule().ShouldHelp(age, checkPeriod, len(alive)+1, random) || (n.storeUnreachable.Load() && readers.ShouldRetry(checkPeriod, len(alive)+1, random))
+	return r.isReader || n.settings.Load().schedule().ShouldHelp(position, age, checkPeriod, len(alive)+1, random) || (n.storeUnreachable.Load() && readers.ShouldRetry(checkPeriod, len(alive)+1, random))
 }
 
 // candidates returns the instances that can be readers: the live ones that are not stopping and can reach the store.
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -16,11 +16,14 @@
 	// watchesPerAge is how many watches fit into the age up to which a configuration may be used.
 	watchesPerAge = 3
 	// watchesPerSpread is how many watches fit into the time within which a change must reach all instances: two until readers without
-	// an answer from the store count as lost, and two for other instances to help and to spread what they read.
-	watchesPerSpread = 4
+	// an answer from the store count as lost, and four for other instances to help and to spread what they read.
+	watchesPerSpread = 6
 	// helpDelay is the time in which a confirmation reaches the other instances, in two rounds of heartbeats.
 	helpDelay = 600 * time.Millisecond
-	// helpInterval is the mean time between reads over all helping instances.
+	// rankedHelpers is the number of instances that help in a fixed order, one every helpStagger. After them, instances help at random.
+	rankedHelpers = 8
+	helpStagger   = 50 * time.Millisecond
+	// helpInterval is the mean time between reads over all instances that help at random.
 	helpInterval = 400 * time.Millisecond
 
 	// maxInitialReaders bounds how many starting instances read the whole store at once. 10,000 engines take 3.3 MB, so 64 reads take
@@ -58,8 +61,15 @@
 	return Schedule{WatchTimeout: watchTimeout, HelpAfter: 2*watchTimeout + helpDelay}
 }
 
-// IsReader reports whether the instance with the peer address self is one of the readers among all.
-func IsReader(self string, all []Instance) bool { return slices.Contains(Top(all, Count), self) }
+// Position returns the position of the instance with the peer address self in the order in which instances read the store. The first Count
+// are the readers, and the next ones help first. All later instances have the same position.
+func Position(self string, all []Instance) int {
+	top := Top(all, Count+rankedHelpers)
+	if i := slices.Index(top, self); i >= 0 {
+		return i
+	}
+	return Count + rankedHelpers
+}
 
 // Top returns at most count instances, ranked by a hash that is the same on all instances. The first Count are the readers; they are in
 // different failure domains if there are enough domains.
@@ -93,10 +103,15 @@
 	return slices.Contains(rank.Order(rankKey, candidates, maxInitialReaders), 0) || (waited >= initialReadDelay && random < readProbability(step, alive))
 }
 
-// ShouldHelp reports whether an instance that is not a reader reads the store now because the last confirmation is too old. The caller asks
-// once every step, with a random number from 0 to 1.
-func (s Schedule) ShouldHelp(confirmedAge, step time.Duration, instances int, random float64) bool {
-	return confirmedAge >= s.HelpAfter && ShouldRetry(step, instances, random)
+// ShouldHelp reports whether an instance that is not a reader reads the store now because the last confirmation is too old. The first helpers
+// read in the order of their positions, so that one reads soon even if some of them are cut off too. The caller asks once every step, with
+// a random number from 0 to 1.
+func (s Schedule) ShouldHelp(position int, confirmedAge, step time.Duration, instances int, random float64) bool {
+	overdue, helper := confirmedAge-s.HelpAfter, position-Count
+	if turn := time.Duration(helper) * helpStagger; helper >= 0 && helper < rankedHelpers && overdue >= turn && overdue < turn+2*step {
+		return true
+	}
+	return overdue >= 0 && ShouldRetry(step, instances, random)
 }
 
 // ShouldRetry reports whether an instance that could not reach the store tries it again now. The caller asks once every step, with a random
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -42,7 +42,7 @@
 			count := 0
 			for _, self := range fleet(tt.size, tt.domains) {
 				rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-				if IsReader(self.Peer, all) {
+				if Position(self.Peer, all) < Count {
 					count++
 					domains[self.Domain] = true
 				}
@@ -65,8 +65,8 @@
 			random := rand.New(rand.NewPCG(1, uint64(size)))
 			calls := 0
 			for at := schedule.HelpAfter; at < schedule.HelpAfter+span; at += step {
-				for range size {
-					if schedule.ShouldHelp(at, step, size, random.Float64()) {
+				for position := range size {
+					if schedule.ShouldHelp(position+Count, at, step, size, random.Float64()) {
 						calls++
 					}
 				}
@@ -78,8 +78,50 @@
 	}
 }
 
+// TestSilentReadersAreReplacedInTime cuts off both readers and a third of the other instances at the moment of a change. The first live
+// instance must help early enough to leave a quarter of the bound for reading the change and spreading it.
+func TestSilentReadersAreReplacedInTime(t *testing.T) {
+	const step, trials, cutShare = 100 * time.Millisecond, 200, 0.35
+	tests := []struct {
+		name           string
+		size           int
+		maxAge, within time.Duration
+	}{
+		{"small site", 9, 3 * time.Second, 2 * time.Second},
+		{"grown museum", 77, 4 * time.Second, 3 * time.Second},
+		{"grown Trust", 89, 4 * time.Second, 3 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewSchedule(tt.maxAge, tt.within)
+			late := 0
+			for trial := range trials {
+				random := rand.New(rand.NewPCG(uint64(trial), 1))
+				all := fleet(tt.size, 3)
+				cut, positions := make(map[string]bool), make(map[string]int)
+				for _, i := range all {
+					positions[i.Peer] = Position(i.Peer, all)
+					cut[i.Peer] = positions[i.Peer] < Count || random.Float64() < cutShare
+				}
+				helped := false
+				for age := time.Duration(0); age <= tt.within*3/4 && !helped; age += step {
+					for _, i := range all {
+						helped = helped || (!cut[i.Peer] && s.ShouldHelp(positions[i.Peer], age, step, tt.size, random.Float64()))
+					}
+				}
+				if !helped {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("in %d of %d trials nobody helps in time", late, trials)
+			}
+		})
+	}
+}
+
 func TestNoHelpWhileTheReplicaIsFresh(t *testing.T) {
-	if schedule.ShouldHelp(schedule.HelpAfter-1, time.Hour, 9, 0) {
+	if schedule.ShouldHelp(0, schedule.HelpAfter-1, time.Hour, 9, 0) {
 		t.Fatal("an instance helps though the last confirmation is recent")
 	}
 }
