fix(entry): a route is not denied on a replica older than the in-force bound

Cause: the age up to which an instance may deny was bounded by contactMs only, which is a second longer than configApplyMs. Change: it is bounded by both. Beyond it the answer is 503 with Retry-After, as it was beyond contactMs. Evidence: TestRouteIsNotDeniedBeyondTheBound got 404 before.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -522,6 +522,27 @@
 	}
 }
 
+// TestRouteIsNotDeniedBeyondTheBound guards against a 404 from an instance whose replica is older than the time within which a new route must be
+// in force.
+func TestRouteIsNotDeniedBeyondTheBound(t *testing.T) {
+	t.Parallel()
+	const inForce = time.Second
+	f := newFleetWith(t, 1, func(s *entry.Settings) {
+		s.Bounds.KeyRevocation = tomlfile.NewDuration(5 * time.Second)
+		s.Bounds.Contact = tomlfile.NewDuration(4 * time.Second)
+		s.Bounds.InForce = tomlfile.NewDuration(inForce)
+	})
+	if got := f.ask(0, oneKey, "/new/x"); got != http.StatusNotFound {
+		t.Fatalf("a current instance answers %d on an unknown route", got)
+	}
+	f.nodes[0].client.SetDisconnected(true)
+	f.configure(testConfiguration{Version: 2, Keys: []string{oneKey}, Path: "/new/"})
+	time.Sleep(inForce)
+	if got := f.ask(0, oneKey, "/new/x"); got != http.StatusServiceUnavailable {
+		t.Errorf("the instance answers %d on a route that it may not know yet", got)
+	}
+}
+
 // TestReloadedBoundsApply raises the revocation bound of an instance that cannot reach the store: it must accept keys again.
 func TestReloadedBoundsApply(t *testing.T) {
 	t.Parallel()
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -132,16 +132,25 @@
 	return s.Bounds.KeyRevocation.Std() - keyMargin
 }
 
-// maxDenyAge returns the age up to which a replica may be used to reject a route or key as unknown.
-func (s *Settings) maxDenyAge() time.Duration { return min(s.maxKeyAge(), s.Bounds.Contact.Std()) }
+// maxDenyAge returns the age up to which a replica may be used to reject a route or key as unknown. A route or key that was added before must
+// be in force.
+func (s *Settings) maxDenyAge() time.Duration {
+	return min(s.maxKeyAge(), s.Bounds.Contact.Std(), s.inForce())
+}
+
+// inForce returns the time within which a change of the configuration must be in force.
+func (s *Settings) inForce() time.Duration {
+	if s.Bounds.InForce.Std() == 0 {
+		return defaultInForce
+	}
+	return s.Bounds.InForce.Std()
+}
 
 // schedule returns the schedule for reading the store that meets the bounds.
 func (s *Settings) schedule() readers.Schedule {
-	spread := defaultInForce
-	for _, bound := range []time.Duration{s.Bounds.InForce.Std(), s.Bounds.Drain.Std()} {
-		if bound > 0 {
-			spread = min(spread, bound)
-		}
+	spread := s.inForce()
+	if drain := s.Bounds.Drain.Std(); drain > 0 {
+		spread = min(spread, drain)
 	}
 	return readers.NewSchedule(s.maxDenyAge(), spread)
 }
