--- a/connection/heartbeat/progress.go
+++ b/connection/heartbeat/progress.go
@@ -19,7 +19,7 @@
 
 // Read reads some bytes.
 func (c *progressConn) Read(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(c.deadline(time.Now())); err != nil {
+	if err := c.SetReadDeadline(c.deadline(time.Now())); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
@@ -34,7 +34,7 @@
 func (c *progressConn) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		if err := c.Conn.SetWriteDeadline(c.deadline(time.Now())); err != nil {
+		if err := c.SetWriteDeadline(c.deadline(time.Now())); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:min(written+chunkBytes, len(p))])
