feat(soak): series of restarts, settings and configurations that overlap, and large runs

Callers stay with one instance until a connection fails, also after it has left the list of addresses.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -15,6 +15,9 @@
 	seeds     int
 	duration  time.Duration
 	instances int
+	// Every largeEvery-th seed runs with largeInstances.
+	largeEvery     uint64
+	largeInstances int
 }
 
 func newSoakCmd() *soakCmd {
@@ -30,6 +33,8 @@
 	flags.IntVar(&root.seeds, "seeds", 1, "number of runs, each with the next seed")
 	flags.DurationVar(&root.duration, "duration", 10*time.Second, "time during which each run injects faults")
 	flags.IntVar(&root.instances, "instances", 3, "number of entry instances")
+	flags.Uint64Var(&root.largeEvery, "largeEvery", 0, "run each seed that is a multiple of this with largeInstances; 0 for none")
+	flags.IntVar(&root.largeInstances, "largeInstances", 60, "number of entry instances in a large run")
 	return root
 }
 
@@ -43,7 +48,11 @@
 		if err != nil {
 			return errors.Wrap(err, "create log directory")
 		}
-		o := soak.Options{Seed: seed, Duration: s.duration, Instances: s.instances, Binary: binary, Dir: dir, Out: cmd.OutOrStdout()}
+		instances := s.instances
+		if s.largeEvery > 0 && seed%s.largeEvery == 0 {
+			instances = s.largeInstances
+		}
+		o := soak.Options{Seed: seed, Duration: s.duration, Instances: instances, Binary: binary, Dir: dir, Out: cmd.OutOrStdout()}
 		if err := soak.Run(cmd.Context(), o); err != nil {
 			return errors.Wrapf(err, "logs in %s", dir)
 		}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,6 +25,8 @@
 	revokedKey     = "revoked-key"
 	callTimeout    = 3 * time.Second
 	callInterval   = 30 * time.Millisecond
+	// callsPerInstance is the mean number of calls after which a caller chooses an instance again, so that restarted ones get calls too.
+	callsPerInstance = 40
 )
 
 type (
@@ -51,7 +53,8 @@
 	}
 )
 
-// run sends requests from count concurrent callers until ctx ends. Each caller reuses its connections.
+// run sends requests from count concurrent callers until ctx ends. Each caller uses one instance, also after that has left the list of
+// addresses, until a connection fails or, seldom, at random.
 func (c *callers) run(ctx context.Context, count int) {
 	var all sync.WaitGroup
 	for number := range count {
@@ -66,6 +69,7 @@
 	keys := []string{validKey, validKey, revokedKey}
 	var addresses []string
 	var resolvedAt time.Time
+	address := ""
 	for n := 0; ctx.Err() == nil; n++ {
 		if time.Since(resolvedAt) > time.Second {
 			if resolved := c.resolve(); len(resolved) > 0 {
@@ -73,8 +77,15 @@
 			}
 			resolvedAt = time.Now()
 		}
-		if len(addresses) > 0 {
-			c.record(c.send(client, addresses[rand.IntN(len(addresses))], paths[(n+number)%len(paths)], keys[n%len(keys)]))
+		if address == "" && len(addresses) > 0 {
+			address = addresses[rand.IntN(len(addresses))]
+		}
+		if address != "" {
+			sent := c.send(client, address, paths[(n+number)%len(paths)], keys[n%len(keys)])
+			if sent.status == 0 || rand.IntN(callsPerInstance) == 0 {
+				address = ""
+			}
+			c.record(sent)
 		}
 		time.Sleep(callInterval)
 	}
--- a/soak/instance.go
+++ b/soak/instance.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +37,14 @@
 	client       *memstore.Client
 	storeServer  *http.Server
 	proxy        *proxy
-	process      *exec.Cmd
+	// process is the running process. Signals are sent to it at any time, whereas a start or an end holds lifecycle.
+	process   atomic.Pointer[process]
+	lifecycle sync.Mutex
+}
+
+// process is one process of an instance.
+type process struct {
+	*os.Process
 	// ended is closed when the process has ended.
 	ended chan struct{}
 }
@@ -79,48 +89,75 @@
 
 // start starts the process. A restarted process appends to the same log file.
 func (n *instance) start() error {
+	n.lifecycle.Lock()
+	defer n.lifecycle.Unlock()
+	return n.launch()
+}
+
+// restart ends the process with a signal and starts a new one after a delay.
+func (n *instance) restart(s syscall.Signal, delay time.Duration) error {
+	n.lifecycle.Lock()
+	defer n.lifecycle.Unlock()
+	stopErr := n.end(s)
+	time.Sleep(delay)
+	if err := n.launch(); err != nil {
+		return err
+	}
+	return stopErr
+}
+
+func (n *instance) launch() error {
 	log, err := os.OpenFile(n.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
-	n.process = exec.Command(n.binary, "entry", "--config", n.settingsFile)
-	n.process.Env = append(os.Environ(), RunEnv+"=1")
-	n.process.Stdout, n.process.Stderr = log, log
-	if err := n.process.Start(); err != nil {
+	command := exec.Command(n.binary, "entry", "--config", n.settingsFile)
+	command.Env = append(os.Environ(), RunEnv+"=1")
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		return errors.Wrap(err, "start instance")
 	}
-	process, ended := n.process, make(chan struct{})
-	n.ended = ended
+	p := &process{Process: command.Process, ended: make(chan struct{})}
+	n.process.Store(p)
 	go func() {
-		defer close(ended)
-		_ = process.Wait()
+		defer close(p.ended)
+		_ = command.Wait()
 		_ = log.Close()
 	}()
 	return nil
 }
 
-func (n *instance) signal(s syscall.Signal) {
-	_ = n.process.Process.Signal(s)
-}
+func (n *instance) signal(s syscall.Signal) { _ = n.process.Load().Signal(s) }
 
-// kill kills the process and waits for its end.
-func (n *instance) kill() {
-	n.signal(syscall.SIGKILL)
-	<-n.ended
-}
-
-// stop stops the process gracefully. It kills the process and returns an error after stopTimeout.
-func (n *instance) stop() error {
-	n.signal(syscall.SIGTERM)
+// end ends the process with a signal. It kills the process and returns an error after stopTimeout.
+func (n *instance) end(s syscall.Signal) error {
+	p := n.process.Load()
+	_ = p.Signal(s)
 	select {
-	case <-n.ended:
+	case <-p.ended:
 		return nil
 	case <-time.After(stopTimeout):
-		n.kill()
+		_ = p.Kill()
+		<-p.ended
 		return errors.Errorf("instance %s did not stop within %s", n.ip, stopTimeout)
 	}
 }
 
+// changeSettings writes the settings file again, with a comment that makes it differ.
+func (n *instance) changeSettings(comment string) error {
+	text, err := os.ReadFile(n.settingsFile)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	text, _, _ = bytes.Cut(text, []byte("\n# "))
+	text = append(bytes.TrimRight(text, "\n"), ("\n# " + comment + "\n")...)
+	// A rename replaces the file at once, so that the process never reads a part of it.
+	if err := os.WriteFile(n.settingsFile+".new", text, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return errors.Wrap(os.Rename(n.settingsFile+".new", n.settingsFile), "replace settings")
+}
+
 func (n *instance) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get(fmt.Sprintf("http://%s:%d/ready", n.ip, readyPort))
@@ -132,8 +169,10 @@
 }
 
 func (n *instance) close() {
+	n.lifecycle.Lock()
+	defer n.lifecycle.Unlock()
 	n.signal(syscall.SIGCONT)
-	n.kill()
+	_ = n.end(syscall.SIGKILL)
 	n.proxy.close()
 	_ = n.storeServer.Close()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/vanillaroute/vanillaroute/standin/loopback"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 	"github.com/vanillaroute/vanillaroute/version/routing"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -32,12 +35,15 @@
 	retryWindow        = 10 * time.Second
 	// recoveryTimeout is how soon all instances must be ready again after the last fault or a restart.
 	recoveryTimeout = 12 * time.Second
-	callerCount     = 12
-	engineCount     = 4
+	// minCallerCount is the number of callers, unless there are more instances.
+	minCallerCount = 12
+	engineCount    = 4
 	// meanFaultInterval is the mean time between the starts of two faults, and meanFaultDuration the mean duration of one.
 	meanFaultInterval = 400 * time.Millisecond
 	meanFaultDuration = time.Second
 	startTimeout      = 10 * time.Second
+	// restartGroups is the number of groups of the rolling restart.
+	restartGroups = 3
 	// settleTime lets requests from before the recovery finish. Requests sent within observationTime after it must succeed.
 	settleTime      = time.Second
 	observationTime = 2 * time.Second
@@ -75,10 +81,13 @@
 		instances    []*instance
 		engines      []*engine
 		lastEngineID int
-		version      routing.Version
 		callers      *callers
 		revokedAt    time.Time
-		faults       []string
+		// mu guards the fields below, which concurrent faults use.
+		mu      sync.Mutex
+		version routing.Version
+		keys    []string
+		faults  []string
 	}
 )
 
@@ -103,9 +112,13 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.callers.run(callCtx, callerCount)
+		r.callers.run(callCtx, max(minCallerCount, o.Instances))
 	}()
+	var series sync.WaitGroup
+	series.Go(func() { r.injectSeries(ctx) })
 	r.injectFaults(ctx)
+	series.Wait()
+	r.endFaults()
 	err := r.checkRecovery(ctx)
 	if err == nil {
 		err = r.checkRollingRestart(ctx)
@@ -149,8 +162,19 @@
 	return r.allReady(startTimeout)
 }
 
+// configure writes a configuration with these keys, and a version that is higher by 1 to 5.
 func (r *run) configure(keys []string) error {
-	r.version += routing.Version(1 + r.rng.IntN(5))
+	return r.writeConfiguration(keys, routing.Version(1+r.rng.IntN(5)))
+}
+
+// writeConfiguration writes a configuration with these keys, or with the current ones if keys is nil.
+func (r *run) writeConfiguration(keys []string, step routing.Version) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if keys == nil {
+		keys = r.keys
+	}
+	r.version, r.keys = r.version+step, keys
 	route := func(path, kind string, attempts int, resumable bool) standin.Route {
 		return standin.Route{
 			Name: path, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: int(callTimeout.Milliseconds()), TargetMs: 500, GapMs: 200,
@@ -183,7 +207,6 @@
 	if r.revokedAt.IsZero() {
 		r.revokeDuringStoreOutage()
 	}
-	r.endFaults()
 }
 
 // revokeDuringStoreOutage revokes a key while no instance reaches the store. The outage lasts longer than keyRevocationLimit,
@@ -193,17 +216,15 @@
 		n.proxy.setMode(silent)
 	}
 	if err := r.configure([]string{validKey}); err != nil {
-		r.faults = append(r.faults, err.Error())
+		r.recordFault(err.Error())
 		return
 	}
 	r.revokedAt = time.Now()
-	r.faults = append(r.faults, r.revokedAt.Format(time.StampMilli)+" key revoked while no instance reaches the store")
+	r.recordFault("key revoked while no instance reaches the store")
 	time.Sleep(2 * keyRevocationLimit)
 }
 
-func (r *run) randomDuration(mean time.Duration) time.Duration {
-	return mean/2 + time.Duration(r.rng.Int64N(int64(mean)))
-}
+func (r *run) randomDuration(mean time.Duration) time.Duration { return randomAround(r.rng, mean) }
 
 // injectFault injects a fault of one of 12 kinds, most of which end after the duration. Kinds 0 to 3 concern the connection of
 // instance n to the store, 4 to 9 an engine, 10 pauses instance n, and 11 is one of the faults of injectMiscFault.
@@ -243,7 +264,13 @@
 	case 11:
 		name = r.injectMiscFault(n)
 	}
-	r.faults = append(r.faults, fmt.Sprintf("%s %s for %s", time.Now().Format(time.StampMilli), name, duration))
+	r.recordFault(fmt.Sprintf("%s for %s", name, duration))
+}
+
+func (r *run) recordFault(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, time.Now().Format(time.StampMilli)+" "+name)
 }
 
 // injectMiscFault randomly restarts a killed instance, compacts the store's history or revokes a key. It returns a
@@ -251,8 +278,7 @@
 func (r *run) injectMiscFault(n *instance) string {
 	switch r.rng.IntN(3) {
 	case 0:
-		n.kill()
-		if err := n.start(); err != nil {
+		if err := n.restart(syscall.SIGKILL, 0); err != nil {
 			return err.Error()
 		}
 		return "instance " + n.ip + " killed"
@@ -273,6 +299,7 @@
 func (r *run) endFaults() {
 	for _, n := range r.instances {
 		n.proxy.setMode(pass)
+		n.signal(syscall.SIGCONT)
 	}
 	for _, e := range r.engines {
 		e.proxy.setMode(pass)
@@ -299,20 +326,24 @@
 	return nil
 }
 
-// checkRollingRestart stops each instance gracefully and starts it again, under load. No request with the valid key may be cut
-// after it has reached an engine.
+// checkRollingRestart stops the instances gracefully in groups of restartGroups, one after the other, and starts them again, under load and
+// while the configuration changes. No request with the valid key may be cut after it has reached an engine.
 func (r *run) checkRollingRestart(ctx context.Context) error {
 	startedAt := time.Now()
-	for _, n := range r.instances {
+	for group := range slices.Chunk(r.instances, (len(r.instances)+restartGroups-1)/restartGroups) {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err := n.stop(); err != nil {
-			return &ViolationError{Guarantee: "graceful stop", Detail: err.Error(), Seed: r.Seed}
+		var restarts errgroup.Group
+		for _, n := range group {
+			restarts.Go(func() error { return n.restart(syscall.SIGTERM, 0) })
 		}
-		if err := n.start(); err != nil {
+		if err := r.writeConfiguration(nil, 1); err != nil {
 			return err
 		}
+		if err := restarts.Wait(); err != nil {
+			return &ViolationError{Guarantee: "graceful stop", Detail: err.Error(), Seed: r.Seed}
+		}
 		if err := r.allReady(recoveryTimeout); err != nil {
 			return &ViolationError{Guarantee: "recovery", Detail: err.Error(), Seed: r.Seed}
 		}
