test(entry): instances get the bound that the test checks

TestChangesArriveWhileTheStoreRejectsReaders checks the small sites' bound of 2 s but left instances at the default of 5 s, so a silent reader was noticed after up to 1.7 s. The platform's settings hold the bound. The check stays the same.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -362,6 +362,7 @@
 			f := newFleetWith(t, size, func(s *entry.Settings) {
 				s.Bounds.KeyRevocation = tomlfile.NewDuration(5 * time.Second)
 				s.Bounds.Contact = tomlfile.NewDuration(3 * time.Second)
+				s.Bounds.InForce = tomlfile.NewDuration(bound)
 			})
 			keys := []string{oneKey, otherKey}
 			for round := range rounds {
