--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -59,9 +59,8 @@
 	return true
 }
 
-// applyConfiguration puts a configuration into force if it is valid and not older than the one in force. It logs for how long the replica was
-// behind. A deleted or invalid entry leaves the
-// last configuration in force.
+// applyConfiguration puts a configuration into force if it is valid and not older than the one in force, and logs for how long the replica was
+// behind. A deleted or invalid entry leaves the last configuration in force.
 func (n *Instance) applyConfiguration(next *snapshot, entry mirror.Entry, behind time.Duration) {
 	if entry.Deleted {
 		return
