fix(cmd): SIGHUP does not end an entry instance that is starting

Callers: an instance that gets SIGHUP while it starts ends without a word, and is away until the platform starts it again. Cause: SIGHUP was handled only after the settings were read and the peer address was open. Until then it ends the process, as it does by default. TestHangupDuringStartDoesNotEndTheProcess failed before. Remains: the first milliseconds, in which the runtime starts, can't be covered; the platform starts the process again.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -43,6 +43,10 @@
 }
 
 func (e *entryCmd) run(ctx context.Context) error {
+	// SIGHUP ends a process that does not handle it, and may arrive while the process starts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	s, err := entry.Load(e.config)
 	if err != nil {
 		return &settingsError{err}
@@ -58,9 +62,6 @@
 	if err != nil {
 		return err
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	watchCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go watchSettings(watchCtx, e.config, hangup, n.Reload, log)
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -110,3 +111,32 @@
 	write(good("7s"))
 	await(7 * time.Second)
 }
+
+// TestHangupDuringStartDoesNotEndTheProcess sends SIGHUP to a process that is still reading its settings. Without a handler, SIGHUP ends it.
+func TestHangupDuringStartDoesNotEndTheProcess(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.toml")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := exec.Command(os.Args[0], "entry", "--config", file)
+	process.Env = append(os.Environ(), runEnv+"=1")
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	// The pipe opens once the process reads its settings.
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := process.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	// Empty settings are invalid, so the process ends with that error.
+	if err := pipe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := process.Wait(); err == nil || process.ProcessState.ExitCode() != 2 {
+		t.Errorf("the process ended with %v", err)
+	}
+}
