feat(soak): processes that end by themselves are started again and reported

The platform starts a process again that has ended. Any end that the soak did not cause fails the run, except by SIGHUP in the first milliseconds of a process. Seed 1029 is a regression case.

--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -25,6 +25,7 @@
 		{320, "same cause as seed 300, with engines that lose answers"},
 		{332, "same cause as seed 300, with an instance killed in between"},
 		{341, "same cause as seed 300, for a non-idempotent request"},
+		{1029, "SIGHUP to an instance that had just started ended it"},
 	}
 	binary, err := os.Executable()
 	if err != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -12,6 +12,11 @@
 	if len(r.executions.problems) > 0 {
 		return &ViolationError{Guarantee: "requests at engines", Detail: r.executions.problems[0], Seed: r.Seed}
 	}
+	select {
+	case exit := <-r.exits:
+		return &ViolationError{Guarantee: "processes run until they are stopped", Detail: exit, Seed: r.Seed}
+	default:
+	}
 	for _, c := range r.callers.calls {
 		if err := r.checkCall(c); err != nil {
 			return err
--- a/soak/instance.go
+++ b/soak/instance.go
@@ -40,18 +40,22 @@
 	// process is the running process. Signals are sent to it at any time, whereas a start or an end holds lifecycle.
 	process   atomic.Pointer[process]
 	lifecycle sync.Mutex
+	closed    bool
+	// exits passes on the ends of processes that the soak has not ended.
+	exits chan<- string
 }
 
 // process is one process of an instance.
 type process struct {
 	*os.Process
-	// ended is closed when the process has ended.
-	ended chan struct{}
+	// ended is closed when the process has ended, and ending is set before the soak ends it.
+	ended  chan struct{}
+	ending atomic.Bool
 }
 
 // newInstance prepares an instance at its own address. All instances use the same ports, as on the platform.
-func newInstance(binary, dir string, network *loopback.Network, number int, store *memstore.Store) (*instance, error) {
-	n := &instance{ip: network.Address(number, callersPort).Addr().String(), binary: binary, client: store.Client()}
+func newInstance(binary, dir string, network *loopback.Network, number int, store *memstore.Store, exits chan<- string) (*instance, error) {
+	n := &instance{exits: exits, ip: network.Address(number, callersPort).Addr().String(), binary: binary, client: store.Client()}
 	n.settingsFile = filepath.Join(dir, fmt.Sprintf("entry-%d.toml", number))
 	n.logFile = filepath.Join(dir, fmt.Sprintf("entry-%d.log", number))
 	storeServer, address, err := serveLocal(standin.Handler(n.client))
@@ -121,17 +125,47 @@
 	n.process.Store(p)
 	go func() {
 		defer close(p.ended)
-		_ = command.Wait()
+		err := command.Wait()
 		_ = log.Close()
+		if !p.ending.Load() {
+			go n.replace(p, err)
+		}
 	}()
 	return nil
 }
 
+// replace starts a process in place of one that has ended by itself, as the platform does. SIGHUP ends a process in the few milliseconds until it
+// handles signals; any other end is reported.
+func (n *instance) replace(ended *process, cause error) {
+	if !endedBy(cause, syscall.SIGHUP) {
+		n.exits <- fmt.Sprintf("instance %s ended by itself: %v", n.ip, cause)
+	}
+	n.lifecycle.Lock()
+	defer n.lifecycle.Unlock()
+	if n.closed || n.process.Load() != ended {
+		return
+	}
+	if err := n.launch(); err != nil {
+		n.exits <- err.Error()
+	}
+}
+
+// endedBy reports whether the error of a process that has ended says that a signal has ended it.
+func endedBy(err error, s syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 func (n *instance) signal(s syscall.Signal) { _ = n.process.Load().Signal(s) }
 
 // end ends the process with a signal. It kills the process and returns an error after stopTimeout.
 func (n *instance) end(s syscall.Signal) error {
 	p := n.process.Load()
+	p.ending.Store(true)
 	_ = p.Signal(s)
 	select {
 	case <-p.ended:
@@ -171,6 +205,7 @@
 func (n *instance) close() {
 	n.lifecycle.Lock()
 	defer n.lifecycle.Unlock()
+	n.closed = true
 	n.signal(syscall.SIGCONT)
 	_ = n.end(syscall.SIGKILL)
 	n.proxy.close()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,8 @@
 	meanFaultInterval = 400 * time.Millisecond
 	meanFaultDuration = time.Second
 	startTimeout      = 10 * time.Second
+	// maxExits bounds the reported ends of processes; the first one fails the run.
+	maxExits = 1000
 	// restartGroups is the number of groups of the rolling restart.
 	restartGroups = 3
 	// settleTime lets requests from before the recovery finish. Requests sent within observationTime after it must succeed.
@@ -82,7 +84,9 @@
 		engines      []*engine
 		lastEngineID int
 		callers      *callers
-		revokedAt    time.Time
+		// exits receives the ends of processes that the soak has not ended.
+		exits     chan string
+		revokedAt time.Time
 		// mu guards the fields below, which concurrent faults use.
 		mu      sync.Mutex
 		version routing.Version
@@ -102,7 +106,7 @@
 
 // Run runs one soak and returns a *ViolationError for the first violation of a guarantee.
 func Run(ctx context.Context, o Options) error {
-	r := &run{Options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: memstore.New(), executions: newExecutionLog()}
+	r := &run{Options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: memstore.New(), executions: newExecutionLog(), exits: make(chan string, maxExits)}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return err
@@ -149,7 +153,7 @@
 		}
 	}
 	for i := range r.Instances {
-		n, err := newInstance(r.Binary, r.Dir, r.network, i, r.store)
+		n, err := newInstance(r.Binary, r.Dir, r.network, i, r.store, r.exits)
 		if err != nil {
 			return err
 		}
