--- a/soak/instance.go
+++ b/soak/instance.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	status, ok := exit.Sys().(syscall.WaitStatus)
-	return ok && status.Signaled() && status.Signal() == s
+	return ok && status.Signal() == s
 }
 
 func (n *instance) signal(s syscall.Signal) { _ = n.process.Load().Signal(s) }
