--- a/soak/soak.go
+++ b/soak/soak.go
@@ -331,7 +331,7 @@
 }
 
 // checkRollingRestart stops the instances gracefully in groups of restartGroups, one after the other, and starts them again, under load and
-// while the configuration changes. No request with the valid key may be cut after it has reached an engine.
+// while the configuration changes. No request with the valid key may be cut after it has reached an engine and before its deadline.
 func (r *run) checkRollingRestart(ctx context.Context) error {
 	startedAt := time.Now()
 	for group := range slices.Chunk(r.instances, (len(r.instances)+restartGroups-1)/restartGroups) {
@@ -353,7 +353,7 @@
 		}
 	}
 	for _, c := range r.callers.sentAfter(startedAt) {
-		if c.status == 0 && c.key == validKey && !c.endedAt.IsZero() && r.executions.count(c.id) > 0 {
+		if c.status == 0 && c.key == validKey && c.endedAt.Before(c.sentAt.Add(callTimeout)) && r.executions.count(c.id) > 0 {
 			return r.violation("graceful stop", c, fmt.Sprintf("cut: %v", c.err))
 		}
 	}
