fix(readers): instances that would be readers retry the store soon after an outage

Cause: an instance that has lost the store tries it again by chance, in a fleet of 150 once a minute, and is no reader until then. The others learn that it is none only from its own heartbeats, each of which reaches one of them in about nine seconds, and take it for a reader until then. TestReadersReturnSoonAfterAnOutage failed in the old code by construction: a retry did not depend on the position. Change: an instance that would be a reader if it reached the store tries it again each second.

--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -56,6 +56,8 @@
 	// needsFullRead says that a full read is needed in spite of a replica, since the store has dropped the changes after its revision, or
 	// these are too large for one reply. A full read brings each value once, whereas a watch brings each version of it.
 	needsFullRead bool
+	// calledAt is when this instance last called the store.
+	calledAt boottime.Instant
 	// isReader says that this instance is one of the readers, according to the instances that it knows to be alive.
 	isReader bool
 }
@@ -113,14 +115,25 @@
 		n.log.Info("store reader", zap.Bool("chosen", isReader), zap.Int("candidates", len(all)))
 	}
 	random := rand.Float64()
-	return r.isReader || n.settings.Load().schedule().ShouldHelp(position, age, checkPeriod, len(alive)+1, random) || (n.storeUnreachable.Load() && readers.ShouldRetry(checkPeriod, len(alive)+1, random))
+	if n.storeUnreachable.Load() {
+		position = readers.Position(n.self, append(all, n.asReader()))
+		if readers.ShouldRetry(position, now.Sub(r.calledAt), checkPeriod, len(alive)+1, random) {
+			return true
+		}
+	}
+	return r.isReader || n.settings.Load().schedule().ShouldHelp(position, age, checkPeriod, len(alive)+1, random)
+}
+
+// asReader returns this instance as a candidate for reading the store.
+func (n *Instance) asReader() readers.Instance {
+	return readers.Instance{Peer: n.self, Domain: n.settings.Load().Instance.FailureDomain}
 }
 
 // candidates returns the instances that can be readers: the live ones that are not stopping and can reach the store.
 func (n *Instance) candidates(alive []members.Member) []readers.Instance {
 	var all []readers.Instance
 	if !n.storeUnreachable.Load() {
-		all = append(all, readers.Instance{Peer: n.self, Domain: n.settings.Load().Instance.FailureDomain})
+		all = append(all, n.asReader())
 	}
 	for _, m := range alive {
 		if m.State != members.Stopping && !m.StoreUnreachable {
@@ -143,6 +156,7 @@
 func (n *Instance) readOnce(ctx context.Context, r *readState) error {
 	n.metrics.Add("storeReads", 1)
 	sent := boottime.Now()
+	r.calledAt = sent
 	revision, _, loaded := n.mirror.State()
 	if !loaded && !r.listed {
 		return n.listPeers(ctx, r)
--- a/process/readers/readers.go
+++ b/process/readers/readers.go
@@ -23,6 +23,8 @@
 	// rankedHelpers is the number of instances that help in a fixed order, one every helpStagger. After them, instances help at random.
 	rankedHelpers = 8
 	helpStagger   = 50 * time.Millisecond
+	// readerRetryInterval is the time after which an instance that would be a reader tries a store again that it could not reach.
+	readerRetryInterval = time.Second
 	// helpInterval is the mean time between reads over all instances that help at random.
 	helpInterval = 400 * time.Millisecond
 
@@ -111,13 +113,14 @@
 	if turn := time.Duration(helper) * helpStagger; helper >= 0 && helper < rankedHelpers && overdue >= turn && overdue < turn+2*step {
 		return true
 	}
-	return overdue >= 0 && ShouldRetry(step, instances, random)
+	return overdue >= 0 && random < readProbability(step, instances)
 }
 
-// ShouldRetry reports whether an instance that could not reach the store tries it again now. The caller asks once every step, with a random
-// number from 0 to 1.
-func ShouldRetry(step time.Duration, instances int, random float64) bool {
-	return random < readProbability(step, instances)
+// ShouldRetry reports whether an instance that could not reach the store tries it again now. Its position is the one that it has if it
+// can reach the store. The caller asks once every step, with a random number from 0 to 1. Instances that would be readers retry soon, since
+// the others may take them for readers until they hear from them.
+func ShouldRetry(position int, sinceLast, step time.Duration, instances int, random float64) bool {
+	return (position < Count && sinceLast >= readerRetryInterval) || random < readProbability(step, instances)
 }
 
 // readProbability returns the probability with which each instance reads in a step, so that on average one of them reads in each
--- a/process/readers/readers_test.go
+++ b/process/readers/readers_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// TestReadersReturnSoonAfterAnOutage guards against a large fleet without readers after an outage of the store: the instances that would be
+// readers must retry it within a second, however large the fleet is.
+func TestReadersReturnSoonAfterAnOutage(t *testing.T) {
+	const step, within = 100 * time.Millisecond, time.Second
+	for _, size := range []int{9, 89, 940} {
+		random := rand.New(rand.NewPCG(1, uint64(size)))
+		for position := range Count {
+			waited := time.Duration(0)
+			for !ShouldRetry(position, waited, step, size, random.Float64()) && waited <= within {
+				waited += step
+			}
+			if waited > within {
+				t.Errorf("%d instances: the instance at position %d does not retry", size, position)
+			}
+		}
+	}
+}
+
 func TestNoHelpWhileTheReplicaIsFresh(t *testing.T) {
 	if schedule.ShouldHelp(0, schedule.HelpAfter-1, time.Hour, 9, 0) {
 		t.Fatal("an instance helps though the last confirmation is recent")
