--- a/connection/forward/endless_test.go
+++ b/connection/forward/endless_test.go
@@ -70,7 +70,6 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			closed := make(chan int, 1)
 			f := newFixture(t, tt.route, func(n int, w http.ResponseWriter, _ *http.Request) {
 				if n > 1 {
