--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -114,7 +114,7 @@
 	x.Metrics.Add("attemptsFailed", 1)
 	x.logPlaced(x.problemLog)
 	x.Log.Warn("attempt failed", zap.String("request", string(x.id)), zap.String("engine", string(c.Engine.ID)), zap.Stringer("result", r), zap.String("reason", x.reason),
-		zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
+		zap.Uint64("fingerprint", x.fingerprint), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
 }
 
 // checkCrashed records a lost answer and reports whether the engine now refuses connections, which means that it has crashed. The request and its
