--- a/process/entry/crashing_test.go
+++ b/process/entry/crashing_test.go
@@ -28,7 +28,7 @@
 )
 
 type (
-	// crashingEngines are engines that crash when they begin to answer a prompt with crashingPart.
+	// crashingEngines are engines that crash when they begin to answer a request with crashingPart in its prompt or its target.
 	crashingEngines struct {
 		t     *testing.T
 		store *memstore.Store
@@ -86,13 +86,8 @@
 }
 
 func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	crashes := strings.Contains(r.Header.Get("X-Parts"), crashingPart)
-	if crashes {
-		e.all.mu.Lock()
-		e.all.arrivals = append(e.all.arrivals, time.Now())
-		e.all.mu.Unlock()
-	}
-	time.Sleep(e.all.runTime)
+	crashes := strings.Contains(r.Header.Get("X-Parts")+r.RequestURI, crashingPart)
+	time.Sleep(e.all.begin(crashes))
 	if crashes {
 		e.crash(true)
 	}
@@ -101,6 +96,16 @@
 	_, _ = io.WriteString(w, "ok")
 }
 
+// begin records the arrival of a request and returns how long it runs.
+func (c *crashingEngines) begin(crashes bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if crashes {
+		c.arrivals = append(c.arrivals, time.Now())
+	}
+	return c.runTime
+}
+
 // crash closes all connections of the engine, which starts again after engineDowntime.
 func (e *crashingEngine) crash(byPart bool) {
 	c := e.all
@@ -154,12 +159,17 @@
 
 // send sends requests with the given first parts of the prompt, and a last part of their own, to instances in turn until ctx ends.
 func (f *fleet) send(ctx context.Context, parts string, interval time.Duration, result *answers) {
+	repeat(ctx, interval, result, func(n int) int { return f.askWithParts(n%len(f.nodes), oneKey, "/p/x", fmt.Sprint(parts, ",own", n)) })
+}
+
+// repeat sends the n-th request with ask, which returns its status, one after each interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, result *answers, ask func(n int) int) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
 		running.Go(func() {
 			sentAt := time.Now()
-			status := f.askWithParts(n%len(f.nodes), oneKey, "/p/x", fmt.Sprint(parts, ",own", n))
+			status := ask(n)
 			result.add(status, time.Since(sentAt))
 		})
 		time.Sleep(interval)
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -45,6 +45,9 @@
 	drainBound = 3 * time.Second
 	// firstPort is the first of the ports of an instance. All instances use the same ports at different IP addresses, as on the platform.
 	firstPort = 7001
+	// manyPath is the path of a route whose requests two engines may run, the second one if the first has not answered in a share of manyTarget.
+	manyPath   = "/many/"
+	manyTarget = 200 * time.Millisecond
 )
 
 type (
@@ -78,6 +81,12 @@
 	}
 
 	testDecoder struct{}
+
+	// callerRequest is a request of a caller: a GET if it has no body, and a POST otherwise. Its caller leaves after patience, unless that is 0.
+	callerRequest struct {
+		key, path, body, parts string
+		patience               time.Duration
+	}
 )
 
 func (testDecoder) Configuration(value []byte) (*routing.Configuration, error) {
@@ -90,7 +99,9 @@
 		Name: "r", Host: "h.example", PathPrefix: c.Path, Kind: routing.NonIdempotent, Timeout: 5 * time.Second, MaxEngines: 1, CachesPrompts: true,
 		Backends: []routing.Backend{{Service: "s", Weight: 1}},
 	}
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route}, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
+	many := route
+	many.Name, many.PathPrefix, many.Kind, many.MaxEngines, many.TargetFirstByte = "many", manyPath, routing.Idempotent, 2, manyTarget
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many}, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
@@ -256,15 +267,30 @@
 
 // askWithParts sends one request with a prompt of these parts to an instance and returns the status, or 0 if the connection failed.
 func (f *fleet) askWithParts(i int, key, path, parts string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[i].settings.Instance.Callers.String()+path, strings.NewReader("x"+parts))
+	return f.perform(i, callerRequest{key: key, path: path, body: "x" + parts, parts: parts})
+}
+
+// perform sends a request to an instance and returns the status, or 0 if the connection failed or the caller left.
+func (f *fleet) perform(i int, r callerRequest) int {
+	ctx := context.Background()
+	if r.patience > 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, r.patience)
+		defer leave()
+	}
+	method := http.MethodPost
+	if r.body == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.nodes[i].settings.Instance.Callers.String()+r.path, strings.NewReader(r.body))
 	if err != nil {
 		f.t.Error(err)
 		return 0
 	}
 	req.Host = "h.example"
-	req.Header.Set("Authorization", keyHeader+key)
+	req.Header.Set("Authorization", keyHeader+r.key)
 	req.Header.Set("X-Request", string(ident.NewRequest()))
-	req.Header.Set("X-Parts", parts)
+	req.Header.Set("X-Parts", r.parts)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
