--- a/process/entry/crashing_request_test.go
+++ b/process/entry/crashing_request_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 )
 
 const (
@@ -83,3 +85,52 @@
 		})
 	}
 }
+
+// TestAbandonedRequestIsSuspectedOfTheCrashOfItsEngine guards against evidence that is missing because no answer was awaited when the engine crashed.
+func TestAbandonedRequestIsSuspectedOfTheCrashOfItsEngine(t *testing.T) {
+	// crashAfter is later than the instance abandons the first attempt, and patience earlier.
+	const crashAfter, patience = 250 * time.Millisecond, 80 * time.Millisecond
+	tests := []struct {
+		name     string
+		patience time.Duration
+		// noticedBy is the instance that loses other answers to the crash. Instance 0 sends the request.
+		noticedBy int
+	}{
+		{"abandoned by its instance, which notices the crash", 0, 0},
+		{"abandoned by its instance, and another one notices the crash", 0, 1},
+		{"abandoned by its caller, and its instance notices the crash", patience, 0},
+		{"abandoned by its caller, and another instance notices the crash", patience, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			c := startCrashingEngines(f, 3, crashAfter)
+			var all sync.WaitGroup
+			defer all.Wait()
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			all.Go(func() {
+				repeat(ctx, soundInterval, &answers{}, func(n int) int {
+					return f.perform(tt.noticedBy, callerRequest{key: oneKey, path: fmt.Sprint("/p/sound", n)})
+				})
+			})
+			time.Sleep(contactBound / 2)
+			request := callerRequest{key: oneKey, path: manyPath + crashingPart, body: "body", patience: tt.patience}
+			f.perform(0, request)
+			f.eventually(func() bool { return len(c.crashTimes()) > 0 }, "no engine crashes")
+			time.Sleep(contactBound)
+			first := c.arrivedAfter(time.Time{})
+			c.setRunTime(0)
+			request.patience = 0
+			for range 4 {
+				f.perform(0, request)
+				time.Sleep(contactBound / 2)
+			}
+			reached := c.arrivedAfter(time.Time{})
+			t.Logf("the request reached %d engines at first, and %d in all", first, reached)
+			if reached > suspects.MaxEngines {
+				t.Errorf("the request reached %d engines", reached)
+			}
+		})
+	}
+}
--- a/process/entry/crashing_test.go
+++ b/process/entry/crashing_test.go
@@ -106,6 +106,13 @@
 	return c.runTime
 }
 
+// setRunTime changes how long engines run requests.
+func (c *crashingEngines) setRunTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runTime = d
+}
+
 // crash closes all connections of the engine, which starts again after engineDowntime.
 func (e *crashingEngine) crash(byPart bool) {
 	c := e.all
