--- a/process/entry/crashing_request_test.go
+++ b/process/entry/crashing_request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -134,3 +135,50 @@
 		})
 	}
 }
+
+// TestSoundRequestsAreNotRefusedAfterCrashes guards against refusing sound requests because engines crashed for other reasons while they ran them.
+func TestSoundRequestsAreNotRefusedAfterCrashes(t *testing.T) {
+	const runTime = 200 * time.Millisecond
+	tests := []struct {
+		name, body string
+		// answered says that engines have answered the request before, at all instances but the last.
+		answered bool
+		engines  int
+	}{
+		{"answered before, without a body, at all engines", "", true, 3},
+		{"answered before, with a body, at all engines", "body", true, 3},
+		{"never answered, without a body, at one engine", "", false, 1},
+		{"never answered, with a body, at one engine", "body", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			c := startCrashingEngines(f, tt.engines, runTime)
+			request := callerRequest{key: oneKey, path: "/p/sound", body: tt.body}
+			time.Sleep(contactBound / 2)
+			if tt.answered {
+				for i := range 2 {
+					f.eventually(func() bool { return f.perform(i, request) == http.StatusOK }, "instance %d does not serve the request", i)
+				}
+			}
+			var all sync.WaitGroup
+			var lost answers
+			for n := range 4 * len(f.nodes) {
+				all.Go(func() { lost.add(f.perform(n%len(f.nodes), request), 0) })
+			}
+			time.Sleep(runTime / 2)
+			c.crash(tt.engines)
+			all.Wait()
+			if lost.answered > 0 {
+				t.Fatalf("%d of %d requests were answered before the crash", lost.answered, lost.sent)
+			}
+			time.Sleep(engineDowntime + 200*time.Millisecond + contactBound)
+			for i := range f.nodes {
+				f.eventually(func() bool { return f.ask(i, oneKey, "/p/other") == http.StatusOK }, "the engines do not return")
+				if got := f.perform(i, request); got != http.StatusOK {
+					t.Errorf("instance %d answers %d after the crashes", i, got)
+				}
+			}
+		})
+	}
+}
