refactor(entry): engines and callers of tests are shared; the name of the header field Server-Leaving

The tests of limits, crashes and draining use the same answers, engines and callers. Their callers' paths now end in the number of the instance, and refusals without a Retry-After are counted. No code reads Leaving yet.

--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -37,6 +37,8 @@
 		Load   string
 		// Limit names the field with the number of requests a second that an engine takes from all instances together.
 		Limit string
+		// Leaving names the field that an engine sets on all its answers while it is about to end.
+		Leaving string
 		// FetchFrom names the field with the address of an engine from which cached parts of the prompt can be copied.
 		FetchFrom string
 		// Reserved lists the fields that only the fleet may set. They are removed from callers' requests.
--- a/process/entry/crashing_request_test.go
+++ b/process/entry/crashing_request_test.go
@@ -28,8 +28,8 @@
 
 // sendSound sends requests with targets of their own to instances in turn until ctx ends.
 func (f *fleet) sendSound(ctx context.Context, body string, result *answers) {
-	repeat(ctx, soundInterval, result, func(n int) int {
-		return f.perform(n%len(f.nodes), callerRequest{key: oneKey, path: fmt.Sprint("/p/sound", n), body: body})
+	repeat(ctx, soundInterval, result, func(n int) (int, http.Header) {
+		return f.askForHeader(n%len(f.nodes), callerRequest{key: oneKey, path: fmt.Sprint("/p/sound", n), body: body})
 	})
 }
 
@@ -57,8 +57,8 @@
 			all.Go(func() { f.sendSound(ctx, tt.body, &meanwhile) })
 			time.Sleep(500 * time.Millisecond)
 			all.Go(func() {
-				repeat(ctx, 50*time.Millisecond, &crashing, func(n int) int {
-					return f.perform(n%len(f.nodes), callerRequest{key: oneKey, path: "/p/" + crashingPart, body: tt.body})
+				repeat(ctx, 50*time.Millisecond, &crashing, func(n int) (int, http.Header) {
+					return f.askForHeader(n%len(f.nodes), callerRequest{key: oneKey, path: "/p/" + crashingPart, body: tt.body})
 				})
 			})
 			time.Sleep(4 * contactBound)
@@ -111,8 +111,8 @@
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
 			all.Go(func() {
-				repeat(ctx, soundInterval, &answers{}, func(n int) int {
-					return f.perform(tt.noticedBy, callerRequest{key: oneKey, path: fmt.Sprint("/p/sound", n)})
+				repeat(ctx, soundInterval, &answers{}, func(n int) (int, http.Header) {
+					return f.askForHeader(tt.noticedBy, callerRequest{key: oneKey, path: fmt.Sprint("/p/sound", n)})
 				})
 			})
 			time.Sleep(contactBound / 2)
@@ -164,7 +164,7 @@
 			var all sync.WaitGroup
 			var lost answers
 			for n := range 4 * len(f.nodes) {
-				all.Go(func() { lost.add(f.perform(n%len(f.nodes), request), 0) })
+				all.Go(func() { lost.add(f.perform(n%len(f.nodes), request), nil, 0) })
 			}
 			time.Sleep(runTime / 2)
 			c.crash(tt.engines)
--- a/process/entry/crashing_test.go
+++ b/process/entry/crashing_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -51,12 +51,13 @@
 	answers struct {
 		mu             sync.Mutex
 		sent, answered int
-		// refusalTimes are the times from a request to its refusal.
-		refusalTimes []time.Duration
+		// refusalTimes are the times from a request to its refusal, and withoutRetryAfter counts the refusals that name no time.
+		refusalTimes      []time.Duration
+		withoutRetryAfter int
 	}
 )
 
-func (a *answers) add(status int, took time.Duration) {
+func (a *answers) add(status int, header http.Header, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sent++
@@ -65,6 +66,9 @@
 		a.answered++
 	case http.StatusServiceUnavailable:
 		a.refusalTimes = append(a.refusalTimes, took)
+		if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err != nil || seconds <= 0 {
+			a.withoutRetryAfter++
+		}
 	}
 }
 
@@ -91,9 +95,7 @@
 	if crashes {
 		e.crash(true)
 	}
-	w.Header().Set("X-Request", r.Header.Get("X-Request"))
-	w.Header().Set("X-Seal", "seal")
-	_, _ = io.WriteString(w, "ok")
+	writeAnswer(w, r)
 }
 
 // begin records the arrival of a request and returns how long it runs.
@@ -164,25 +166,36 @@
 	return n
 }
 
-// send sends requests with the given first parts of the prompt, and a last part of their own, to instances in turn until ctx ends.
+// send sends requests with the given first parts of the prompt, and a last part of their own, to instances in turn until ctx ends. The last
+// part of the path is the number of the instance.
 func (f *fleet) send(ctx context.Context, parts string, interval time.Duration, result *answers) {
-	repeat(ctx, interval, result, func(n int) int { return f.askWithParts(n%len(f.nodes), oneKey, "/p/x", fmt.Sprint(parts, ",own", n)) })
+	repeat(ctx, interval, result, func(n int) (int, http.Header) {
+		i, all := n%len(f.nodes), fmt.Sprint(parts, "own", n)
+		return f.askForHeader(i, callerRequest{key: oneKey, path: fmt.Sprint("/p/", i), body: "x" + all, parts: all})
+	})
 }
 
-// repeat sends the n-th request with ask, which returns its status, one after each interval until ctx ends.
-func repeat(ctx context.Context, interval time.Duration, result *answers, ask func(n int) int) {
+// repeat sends the n-th request with ask, which returns the status and the header of its answer, one after each interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, result *answers, ask func(n int) (int, http.Header)) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
 		running.Go(func() {
 			sentAt := time.Now()
-			status := ask(n)
-			result.add(status, time.Since(sentAt))
+			status, header := ask(n)
+			result.add(status, header, time.Since(sentAt))
 		})
 		time.Sleep(interval)
 	}
 }
 
+// sendFor is like send and ends after a duration.
+func (f *fleet) sendFor(duration time.Duration, parts string, interval time.Duration, result *answers) {
+	ctx, stop := context.WithTimeout(f.t.Context(), duration)
+	defer stop()
+	f.send(ctx, parts, interval, result)
+}
+
 // TestPartThatCrashesEnginesIsStoppedByAllInstances guards against requests that share one part of their prompts and crash one engine after
 // the other, and against refusing sound requests for it, also after all instances have restarted.
 func TestPartThatCrashesEnginesIsStoppedByAllInstances(t *testing.T) {
@@ -192,9 +205,9 @@
 	defer stop()
 	var all sync.WaitGroup
 	var sound, restartedSound, crashing answers
-	all.Go(func() { f.send(ctx, "shared,sound", 15*time.Millisecond, &sound) })
+	all.Go(func() { f.send(ctx, "shared,sound,", 15*time.Millisecond, &sound) })
 	time.Sleep(500 * time.Millisecond)
-	all.Go(func() { f.send(ctx, "shared,"+crashingPart, 25*time.Millisecond, &crashing) })
+	all.Go(func() { f.send(ctx, "shared,"+crashingPart+",", 25*time.Millisecond, &crashing) })
 	f.eventually(func() bool { return len(c.crashTimes()) >= 3 }, "the part does not crash engines")
 	time.Sleep(3 * contactBound)
 	crashes := c.crashTimes()
@@ -208,7 +221,7 @@
 		f.start(i, false)
 	}
 	restarted := time.Now()
-	all.Go(func() { f.send(ctx, "shared,sound", 15*time.Millisecond, &restartedSound) })
+	all.Go(func() { f.send(ctx, "shared,sound,", 15*time.Millisecond, &restartedSound) })
 	time.Sleep(2 * contactBound)
 	stop()
 	all.Wait()
@@ -246,14 +259,14 @@
 			defer stop()
 			var all sync.WaitGroup
 			var meanwhile, afterwards answers
-			all.Go(func() { f.send(ctx, "shared,sound", 5*time.Millisecond, &meanwhile) })
+			all.Go(func() { f.send(ctx, "shared,sound,", 5*time.Millisecond, &meanwhile) })
 			time.Sleep(500 * time.Millisecond)
 			for _, count := range tt.crashes {
 				c.crash(count)
 				time.Sleep(engineDowntime + 200*time.Millisecond)
 			}
 			time.Sleep(contactBound)
-			all.Go(func() { f.send(ctx, "shared,sound", 15*time.Millisecond, &afterwards) })
+			all.Go(func() { f.send(ctx, "shared,sound,", 15*time.Millisecond, &afterwards) })
 			time.Sleep(contactBound)
 			stop()
 			all.Wait()
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -129,9 +129,7 @@
 	f.engine = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.runs.Add(1)
 		time.Sleep(f.engineDelay)
-		w.Header().Set("X-Request", r.Header.Get("X-Request"))
-		w.Header().Set("X-Seal", "seal")
-		_, _ = io.WriteString(w, "ok")
+		writeAnswer(w, r)
 	}))
 	t.Cleanup(f.engine.Close)
 	f.configure(testConfiguration{Version: 1, Keys: []string{oneKey, otherKey}, Path: "/p/"})
@@ -148,6 +146,22 @@
 	return f
 }
 
+// writeAnswer writes an engine's answer.
+func writeAnswer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request", r.Header.Get("X-Request"))
+	w.Header().Set("X-Seal", "seal")
+	_, _ = io.WriteString(w, "ok")
+}
+
+// addEngine starts an engine until the test ends, registers it and returns its address.
+func (f *fleet) addEngine(id string, h http.Handler) string {
+	server := httptest.NewServer(h)
+	f.t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	f.store.Put("engines/"+id, []byte(address))
+	return address
+}
+
 func (f *fleet) configure(c testConfiguration) {
 	value, err := json.Marshal(c)
 	if err != nil {
@@ -215,7 +229,7 @@
 		Store: c, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/", Culprits: "culprits/"},
 		Names: forward.HeaderNames{
 			RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", PromptParts: "X-Parts", LastEventID: "X-Last", Organisation: "X-Organisation",
-			ExpectedEngine: "X-Expect", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit",
+			ExpectedEngine: "X-Expect", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
 			ParseParts: parseParts,
 			ParseLoad:  func(string) (placing.Report, bool) { return placing.Report{}, false },
 		},
@@ -272,6 +286,12 @@
 
 // perform sends a request to an instance and returns the status, or 0 if the connection failed or the caller left.
 func (f *fleet) perform(i int, r callerRequest) int {
+	status, _ := f.askForHeader(i, r)
+	return status
+}
+
+// askForHeader is like perform and also returns the header of the answer.
+func (f *fleet) askForHeader(i int, r callerRequest) (int, http.Header) {
 	ctx := context.Background()
 	if r.patience > 0 {
 		var leave context.CancelFunc
@@ -285,7 +305,7 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.nodes[i].settings.Instance.Callers.String()+r.path, strings.NewReader(r.body))
 	if err != nil {
 		f.t.Error(err)
-		return 0
+		return 0, nil
 	}
 	req.Host = "h.example"
 	req.Header.Set("Authorization", keyHeader+r.key)
@@ -293,13 +313,13 @@
 	req.Header.Set("X-Parts", r.parts)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
+		return 0, nil
 	}
-	return resp.StatusCode
+	return resp.StatusCode, resp.Header
 }
 
 func (f *fleet) eventually(ok func() bool, message string, args ...any) {
@@ -649,16 +669,11 @@
 	f := newFleet(t, size)
 	var last atomic.Int64
 	var runs atomic.Int32
-	draining := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address := f.addEngine("e2", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		last.Store(time.Now().UnixNano())
 		runs.Add(1)
-		w.Header().Set("X-Request", r.Header.Get("X-Request"))
-		w.Header().Set("X-Seal", "seal")
-		_, _ = io.WriteString(w, "ok")
+		writeAnswer(w, r)
 	}))
-	defer draining.Close()
-	address := strings.TrimPrefix(draining.URL, "http://")
-	f.store.Put("engines/e2", []byte(address))
 	ctx, stop := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	defer callers.Wait()
--- a/process/entry/limit_test.go
+++ b/process/entry/limit_test.go
@@ -1,14 +1,10 @@
 package entry_test
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,12 +33,10 @@
 	limit := e.limit
 	e.mu.Unlock()
 	time.Sleep(engineRunTime)
-	w.Header().Set("X-Request", r.Header.Get("X-Request"))
-	w.Header().Set("X-Seal", "seal")
 	if limit > 0 {
 		w.Header().Set("X-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 	}
-	_, _ = io.WriteString(w, "ok")
+	writeAnswer(w, r)
 }
 
 func (e *limitingEngine) setLimit(perSecond float64) {
@@ -92,16 +86,12 @@
 			var engines []*limitingEngine
 			for i := range 4 {
 				e := &limitingEngine{}
-				server := httptest.NewServer(e)
-				defer server.Close()
-				f.store.Put(fmt.Sprint("engines/l", i), []byte(strings.TrimPrefix(server.URL, "http://")))
+				f.addEngine(fmt.Sprint("l", i), e)
 				engines = append(engines, e)
 			}
 			var unlimited, limited, afterwards, unchecked answers
 			send := func(result *answers, duration time.Duration) {
-				ctx, stop := context.WithTimeout(t.Context(), duration)
-				defer stop()
-				f.send(ctx, "shared,subject", time.Second/60, result)
+				f.sendFor(duration, "shared,subject,", time.Second/60, result)
 			}
 			time.Sleep(contactBound)
 			send(&unlimited, 2*contactBound)
