test(entry): an engine that says that it is leaving gets no new requests

The entry in the store was away for 500 ms and came back meanwhile. Both engines get requests after they have started again under new ids.

--- a/process/entry/notice_test.go
+++ b/process/entry/notice_test.go
@@ -15,6 +15,8 @@
 	// it has named.
 	pauseNotice    = 500 * time.Millisecond
 	allowedInPause = 2
+	// leavingNotice is the time after an engine's first answer with X-Leaving to an instance from which it gets no request from there.
+	leavingNotice = 500 * time.Millisecond
 	// noticeInterval is the time between two requests.
 	noticeInterval = 8 * time.Millisecond
 	// returnBound bounds the time until an engine gets requests that takes them again.
@@ -84,6 +86,20 @@
 	e.pause = pause
 }
 
+func (e *noticeEngine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// restart starts the engine again under a new id.
+func (e *noticeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.id += "'"
+	e.leaving, e.visits = false, nil
+}
+
 // visitsBetween returns the number of requests that reached the engine between two times.
 func (e *noticeEngine) visitsBetween(from, to time.Time) int {
 	e.mu.Lock()
@@ -114,6 +130,24 @@
 	return most
 }
 
+// visitsAfterNotice returns the number of requests, from all instances, later than leavingNotice after the engine has first told that
+// instance that it is leaving, and the number of instances that it has told.
+func (e *noticeEngine) visitsAfterNotice() (late, told int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	toldAt := make(map[string]time.Time)
+	for _, v := range e.visits {
+		at, ok := toldAt[v.path]
+		switch {
+		case ok && v.at.After(at.Add(engineRunTime+leavingNotice)):
+			late++
+		case !ok && v.leaving:
+			toldAt[v.path] = v.at
+		}
+	}
+	return late, len(toldAt)
+}
+
 // TestEngineThatWantsNoRequestsGetsNone guards against requests to an engine that has refused one and named the time for which it wants none,
 // against refusals while other engines take requests, and against an engine that gets no requests after that time.
 func TestEngineThatWantsNoRequestsGetsNone(t *testing.T) {
@@ -168,6 +202,68 @@
 	}
 }
 
+// TestEngineThatIsLeavingGetsNoNewRequests guards against requests to an engine that has said that it is leaving while its entry in the store
+// says otherwise or comes back.
+func TestEngineThatIsLeavingGetsNoNewRequests(t *testing.T) {
+	// entryAway is how long entries are missing from the store.
+	const entryAway = 500 * time.Millisecond
+	tests := []struct {
+		name    string
+		leaving int
+	}{
+		{"one engine of two", 1},
+		{"every engine", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			all := startNoticeEngines(f, 2)
+			leaving := all[:tt.leaving]
+			var unchecked, meanwhile, afterwards answers
+			f.sendFor(contactBound, "", noticeInterval, &unchecked)
+			for _, e := range leaving {
+				e.leave()
+			}
+			f.sendFor(2*leavingNotice, "", noticeInterval, &meanwhile)
+			for _, e := range leaving {
+				f.store.Delete("engines/" + e.id)
+			}
+			f.sendFor(entryAway, "", noticeInterval, &meanwhile)
+			for _, e := range leaving {
+				f.store.Put("engines/"+e.id, []byte(e.address))
+			}
+			f.sendFor(drainBound, "", noticeInterval, &meanwhile)
+			for _, e := range leaving {
+				switch late, told := e.visitsAfterNotice(); {
+				case told == 0:
+					t.Errorf("engine %s has told no instance that it is leaving", e.id)
+				case late > 0:
+					t.Errorf("engine %s got %d requests from instances that it had told that it is leaving", e.id, late)
+				}
+				f.store.Delete("engines/" + e.id)
+				e.restart()
+				f.store.Put("engines/"+e.id, []byte(e.address))
+			}
+			f.sendFor(returnBound, "", noticeInterval, &unchecked)
+			for _, e := range leaving {
+				if e.visitsBetween(time.Time{}, time.Now()) == 0 {
+					t.Errorf("engine %s gets no requests %s after it has started again", e.id, returnBound)
+				}
+			}
+			f.sendFor(returnBound, "", noticeInterval, &afterwards)
+			if tt.leaving < len(all) && meanwhile.answered < meanwhile.sent {
+				t.Errorf("%d of %d requests are answered though another engine takes them", meanwhile.answered, meanwhile.sent)
+			}
+			if tt.leaving == len(all) {
+				checkRefused(t, &meanwhile)
+			}
+			if afterwards.answered < afterwards.sent {
+				t.Errorf("%d of %d requests are answered after the new start", afterwards.answered, afterwards.sent)
+			}
+		})
+	}
+}
+
 // checkRefused checks that requests were refused at once, with a time after which to come again.
 func checkRefused(t *testing.T, a *answers) {
 	t.Helper()
