--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -77,10 +77,8 @@
 		Table    *placing.Table
 		Budget   *retries.Budget
 		Client   *upstream.Client
-		// Suspects holds the requests suspected of crashing engines anywhere in the fleet.
-		Suspects *suspects.Table
-		// Parts tracks the parts of prompts on which engines crash.
-		Parts   *suspects.Parts
+		// Crashes holds the evidence of the fleet on the requests and parts of prompts on which engines crash.
+		Crashes *suspects.Crashes
 		Metrics *metrics.Registry
 		Log     *zap.Logger
 		// Closing reports whether the instance is shutting down. Answers then close the caller's connection.
@@ -90,7 +88,6 @@
 	// Handler is the HTTP handler for callers' requests.
 	Handler struct {
 		Dependencies
-		crashes *crashTracker
 		answers *answerBuffers
 		// problemLog logs requests that the first engine did not answer. If logging is over budget, its lines are dropped last.
 		problemLog *zap.Logger
@@ -100,7 +97,7 @@
 // New returns a Handler that logs under logs.RequestLogger.
 func New(deps Dependencies) *Handler {
 	deps.Log = deps.Log.Named(logs.RequestLogger)
-	return &Handler{Dependencies: deps, crashes: newCrashTracker(deps.Suspects, deps.Parts), answers: &answerBuffers{}, problemLog: deps.Log.Named("troubled")}
+	return &Handler{Dependencies: deps, answers: &answerBuffers{}, problemLog: deps.Log.Named("troubled")}
 }
 
 // hopHeaders are the header fields that apply to a single connection and are not forwarded.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -70,14 +70,13 @@
 		route   *routing.Route
 		service ident.Service
 		parts   []placing.Part
-		// suspectParts are the parts that may crash engines.
-		suspectParts []suspects.PartID
-		header       http.Header
-		body         []byte
-		fingerprint  uint64
-		arrived      time.Time
-		deadline     time.Time
-		tried        []ident.Engine
+		// subjects are what the evidence on crashes under the request is kept for.
+		subjects suspects.Subjects
+		header   http.Header
+		body     []byte
+		arrived  time.Time
+		deadline time.Time
+		tried    []ident.Engine
 		// snapshot is the snapshot on which the current attempt is based.
 		snapshot Snapshot
 		// suspected says that the request is refused because it is suspected of crashing too many engines, and culprit that it is because
@@ -125,17 +124,17 @@
 		if ctx.Err() != nil || !x.mayContinue(now) {
 			break
 		}
-		if x.Parts.Refuses(x.suspectParts, now) {
+		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
 			x.culprit, x.verdict = true, "engines crash on a part of the prompt"
 			x.Metrics.Add("culpritsRefused", 1)
 			break
 		}
-		crashed := x.crashes.crashedEngines(x.fingerprint)
-		if len(crashed) >= suspects.MaxEngines {
+		if x.Crashes.Requests.Refuses([]suspects.ID{x.subjects.Request}, now) {
 			x.suspected, x.verdict = true, "the request crashed as many engines as it may"
+			x.Metrics.Add("suspectsRefused", 1)
 			break
 		}
-		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: append(crashed, x.tried...)}
+		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried}
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
 			x.verdict = "no engine is left"
@@ -303,6 +302,7 @@
 	x.sends++
 	x.runs++
 	if callerGone && x.route.Kind != routing.NonIdempotent {
+		x.recordLost(e, now)
 		return resultLost
 	}
 	x.Table.RecordFailure(e, false, now)
@@ -340,11 +340,7 @@
 		return resultLost
 	}
 	x.Table.RecordSuccess(e, now)
-	if ok {
-		x.recordAnswered()
-	} else {
-		x.crashes.markCleared(x.fingerprint)
-	}
+	x.recordAnswered(ok)
 	x.writeAnswer(a)
 	return resultAnswered
 }
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -86,7 +86,7 @@
 	f.engines.Store(engines.NewList(all))
 	f.handler = New(Dependencies{
 		Names: testNames, Limits: func() AgeLimits { return AgeLimits{MaxKeyAge: 4 * time.Second, MaxDenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
-		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewRegistry(), Suspects: suspects.New(), Parts: suspects.NewParts(), Log: zap.NewNop(),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewRegistry(), Crashes: suspects.NewCrashes(), Log: zap.NewNop(),
 		Snapshot: func() Snapshot {
 			return Snapshot{Configuration: configuration, Engines: f.engines.Load(), ConfirmedAge: time.Duration(f.confirmedAge.Load()), Instances: 3}
 		},
@@ -817,7 +817,7 @@
 				})
 			}
 			all.Wait()
-			evidence, first := f.handler.Parts.TakeChanged()
+			evidence, first := f.handler.Crashes.Parts.TakeChanged()
 			if evidence = append(evidence, first...); len(evidence) != requests {
 				t.Fatalf("the evidence on %d parts is %v", requests, evidence)
 			}
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
 )
@@ -95,19 +96,27 @@
 	x := &exchange{
 		Handler: h, w: w, r: r, route: route, body: body, arrived: arrived,
 		id: ident.Request(r.Header.Get(h.Names.RequestID)), org: org,
-		fingerprint: fingerprint(org, r.RequestURI, body),
-		deadline:    arrived.Add(timeoutFor(r.Header.Get(h.Names.Deadline), route.Timeout)),
-		header:      h.engineHeader(r.Header, org),
+		deadline: arrived.Add(timeoutFor(r.Header.Get(h.Names.Deadline), route.Timeout)),
+		header:   h.engineHeader(r.Header, org),
 	}
 	x.service = route.Service(x.id)
 	ids, tokens := h.Names.ParseParts(r.Header.Get(h.Names.PromptParts))
-	x.suspectParts = suspectParts(ids)
+	x.subjects = suspects.Subjects{Request: suspects.NewRequest(org, r.Method, r.Host, r.RequestURI, body), Parts: sharedParts(ids)}
 	if route.CachesPrompts {
 		x.parts = placing.NewParts(ids, tokens, ident.Model(r.Header.Get(h.Names.Model)))
 	}
 	return x
 }
 
+// sharedParts returns the parts of a prompt that other prompts may share: all but the last one.
+func sharedParts(names []string) []suspects.ID {
+	parts := make([]suspects.ID, max(len(names)-1, 0))
+	for i := range parts {
+		parts[i] = suspects.NewPart(names[i])
+	}
+	return parts
+}
+
 // engineHeader returns the caller's header without its key, hop-by-hop fields and reserved fields, and with its organisation.
 func (h *Handler) engineHeader(from http.Header, org ident.Organisation) http.Header {
 	header := from.Clone()
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -8,6 +8,7 @@
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
@@ -114,26 +115,28 @@
 	x.Metrics.Add("attemptsFailed", 1)
 	x.logPlaced(x.problemLog)
 	x.Log.Warn("attempt failed", zap.String("request", string(x.id)), zap.String("engine", string(c.Engine.ID)), zap.Stringer("result", r), zap.String("reason", x.reason),
-		zap.Uint64("fingerprint", x.fingerprint), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
+		zap.Stringer("fingerprint", x.subjects.Request), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
 }
 
-// checkCrashed records a lost answer and reports whether the engine now refuses connections, which means that it has crashed. The request and its
-// parts are then suspected, unless the engine has been answering for longer than beginWindow: an engine crashes as it begins the answer.
+// checkCrashed records a lost answer and reports whether the engine now refuses connections, which means that it has crashed. If nobody waits for the
+// answer any more, the engine may still crash on the request: whoever finds that tells all instances.
 func (x *exchange) checkCrashed(ctx context.Context, e engines.Engine) bool {
-	now := time.Now()
-	if ctx.Err() != nil {
-		return false
-	}
-	if x.answeringSince.IsZero() || now.Sub(x.answeringSince) <= beginWindow {
-		x.crashes.recordLostAnswer(e.Key, lostAnswer{fingerprint: x.fingerprint, parts: x.suspectParts, at: now})
-	}
-	if !upstream.ConnectionRefused(ctx, e.Address) {
+	x.recordLost(e, time.Now())
+	if ctx.Err() != nil || !upstream.ConnectionRefused(ctx, e.Address) {
 		return false
 	}
 	x.markUnreachable(e, true, time.Now())
 	return true
 }
 
+// recordLost records that the engine accepted the request and its answer was lost, unless it has been answering for longer than beginWindow: an
+// engine crashes as it begins the answer.
+func (x *exchange) recordLost(e engines.Engine, now time.Time) {
+	if x.answeringSince.IsZero() || now.Sub(x.answeringSince) <= beginWindow {
+		x.Crashes.RecordLost(e.Key, x.subjects, now)
+	}
+}
+
 // mayBeCut reports whether an answer that ended with its connection may lack its end because the engine has crashed. An engine that is draining or
 // no longer registered may have stopped after it.
 func (x *exchange) mayBeCut(ctx context.Context, resp *upstream.Response, e engines.Engine) bool {
@@ -144,16 +147,17 @@
 	return registered && !current.Draining && x.checkCrashed(ctx, e)
 }
 
-// recordAnswered records that an engine has answered the request and its parts without a crash.
-func (x *exchange) recordAnswered() {
-	x.crashes.markCleared(x.fingerprint)
-	x.Parts.RecordAnswer(x.suspectParts, time.Now())
+// recordAnswered records that an engine has answered the request without a crash. Only a success counts for the parts of its prompt.
+func (x *exchange) recordAnswered(success bool) {
+	x.Crashes.RecordAnswer(x.subjects, success, time.Now())
 }
 
-// markUnreachable puts an engine into back-off and suspects the requests whose answers it has just lost.
+// markUnreachable puts an engine into back-off. If its process has ended, the requests whose answers it has just lost are suspected.
 func (x *exchange) markUnreachable(e engines.Engine, processEnded bool, now time.Time) {
-	if n := x.crashes.recordUnreachable(e, processEnded, now); n > 0 {
-		x.Log.Warn("requests suspected", zap.String("engine", string(e.ID)), zap.Int("requests", n))
+	if processEnded {
+		if n := x.Crashes.RecordEnd(suspects.EngineEnd{Engine: e.Key, At: now}, now); n > 0 {
+			x.Log.Warn("requests suspected", zap.String("engine", string(e.ID)), zap.Int("requests", n))
+		}
 	}
 	if backoff := x.Table.RecordFailure(e, true, now); backoff > 0 {
 		x.Metrics.Add("enginesHeld", 1)
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -84,7 +84,7 @@
 		if x.mayBeCut(ctx, resp, e) {
 			return x.failStream(errors.New("the engine crashed as the stream ended with the connection"), e)
 		}
-		x.recordAnswered()
+		x.recordAnswered(true)
 		x.logEnd(outcomeAnswered, http.StatusOK)
 		return resultAnswered
 	}
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -72,30 +72,38 @@
 		Holders  []PartHolder
 		// Observations is a list encoded by PackObservations.
 		Observations []byte
-		// Suspects lists requests that crashed engines.
+		// Suspects is empty. Earlier versions expect the field.
 		Suspects []wire.Suspect
 		// Surges lists subjects of prompts for which requests suddenly rise. They are sent in an extension.
 		Surges []placing.PartID `msgpack:"-"`
-		// Parts holds evidence on parts of prompts on which engines crash. It is sent in an extension.
-		Parts []PartEvidence `msgpack:"-"`
+		// Parts and Requests hold evidence on the parts of prompts and the requests on which engines crash. They are sent in extensions.
+		Parts    []Evidence `msgpack:"-"`
+		Requests []Evidence `msgpack:"-"`
+		// Ends lists engines whose processes have ended. It is sent in an extension.
+		Ends []EngineEnd `msgpack:"-"`
 		// Limits holds what engines have said about their limits. It is sent in an extension.
 		Limits []Limit `msgpack:"-"`
 	}
 
-	// surgeExtension, partExtension and limitExtension follow the message in a datagram, in this order. An instance of an earlier version
-	// ignores those that it does not know, whereas it rejects a Message with another number of fields.
+	// surgeExtension, partExtension, limitExtension and crashExtension follow the message in a datagram, in this order. An instance of an earlier
+	// version ignores those that it does not know, whereas it rejects a Message with another number of fields.
 	surgeExtension struct {
 		Surges []placing.PartID
 	}
 
 	partExtension struct {
-		Parts []PartEvidence
+		Parts []Evidence
 	}
 
 	limitExtension struct {
 		Limits []Limit
 	}
 
+	crashExtension struct {
+		Requests []Evidence
+		Ends     []EngineEnd
+	}
+
 	// Limit is what an engine takes from all instances together, 0 for no limit, and the time since it said so.
 	Limit struct {
 		Engine engines.Key
@@ -103,16 +111,22 @@
 		Age    Millis
 	}
 
-	// PartEvidence is the evidence for and against a part of prompts.
-	PartEvidence struct {
-		Part    suspects.PartID
-		Crashes []PartCrash
-		// Answered is the time since an engine last completed an answer on the part, or NeverAnswered.
+	// Evidence is the evidence for and against a request or a part of prompts.
+	Evidence struct {
+		ID      suspects.ID
+		Crashes []Crash
+		// Answered is the time since an engine last completed an answer on it, or NeverAnswered.
 		Answered Millis
 	}
 
-	// PartCrash is the crash of an engine on a part, and the time since.
-	PartCrash struct {
+	// Crash is the crash of an engine, and the time since.
+	Crash struct {
+		Engine engines.Key
+		Age    Millis
+	}
+
+	// EngineEnd is an engine whose process was found to have ended, and the time since.
+	EngineEnd struct {
 		Engine engines.Key
 		Age    Millis
 	}
@@ -190,14 +204,20 @@
 // at a time, and last its loads and observations. The extensions are not counted.
 func Encode(m Message) []byte {
 	body := encodeMessage(m)
-	if len(m.Surges)+len(m.Parts)+len(m.Limits) > 0 {
-		body = append(body, wire.Encode(surgeExtension{Surges: m.Surges})...)
+	extensions := []struct {
+		value any
+		empty bool
+	}{
+		{surgeExtension{Surges: m.Surges}, len(m.Surges) == 0},
+		{partExtension{Parts: m.Parts}, len(m.Parts) == 0},
+		{limitExtension{Limits: m.Limits}, len(m.Limits) == 0},
+		{crashExtension{Requests: m.Requests, Ends: m.Ends}, len(m.Requests)+len(m.Ends) == 0},
 	}
-	if len(m.Parts)+len(m.Limits) > 0 {
-		body = append(body, wire.Encode(partExtension{Parts: m.Parts})...)
+	for len(extensions) > 0 && extensions[len(extensions)-1].empty {
+		extensions = extensions[:len(extensions)-1]
 	}
-	if len(m.Limits) > 0 {
-		body = append(body, wire.Encode(limitExtension{Limits: m.Limits})...)
+	for _, e := range extensions {
+		body = append(body, wire.Encode(e.value)...)
 	}
 	return body
 }
@@ -205,24 +225,33 @@
 // Decode decodes the datagram of a heartbeat. It fails on malformed input.
 func Decode(body []byte) (Message, error) {
 	m, rest, err := wire.DecodeFirst[Message](body)
-	if err != nil || len(rest) == 0 {
-		return m, err
-	}
-	surges, rest, err := wire.DecodeFirst[surgeExtension](rest)
-	m.Surges = surges.Surges
-	if err != nil || len(rest) == 0 {
-		return m, err
-	}
-	parts, rest, err := wire.DecodeFirst[partExtension](rest)
-	m.Parts = parts.Parts
-	if err != nil || len(rest) == 0 {
-		return m, err
+	decoders := []func() error{
+		func() error { return decodeExtension(&rest, func(e surgeExtension) { m.Surges = e.Surges }) },
+		func() error { return decodeExtension(&rest, func(e partExtension) { m.Parts = e.Parts }) },
+		func() error { return decodeExtension(&rest, func(e limitExtension) { m.Limits = e.Limits }) },
+		func() error {
+			return decodeExtension(&rest, func(e crashExtension) { m.Requests, m.Ends = e.Requests, e.Ends })
+		},
+	}
+	for _, decode := range decoders {
+		if err != nil || len(rest) == 0 {
+			break
+		}
+		err = decode()
 	}
-	limits, err := wire.Decode[limitExtension](rest)
-	m.Limits = limits.Limits
 	return m, err
 }
 
+// decodeExtension decodes the first extension of rest, passes it to set, and leaves the others in rest.
+func decodeExtension[T any](rest *[]byte, set func(T)) error {
+	e, after, err := wire.DecodeFirst[T](*rest)
+	*rest = after
+	if err == nil {
+		set(e)
+	}
+	return err
+}
+
 func encodeMessage(m Message) []byte {
 	body := wire.Encode(m)
 	if len(body) > MaxDatagramBytes {
--- /dev/null
+++ b/process/entry/evidence.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
+	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"github.com/vanillaroute/vanillaroute/version/rank"
+	"go.uber.org/zap"
+)
+
+const (
+	// newsFanOut is the number of instances to which news on crashes is sent at once. The first evidence on a subject goes to those of highest rank
+	// for it, which collect it; later evidence and the ends of engines go to random instances, which send them on.
+	newsFanOut = 4
+	// newsPause is the minimum time between two such messages, so that the requests of one crash share a message.
+	newsPause = 20 * time.Millisecond
+	// evidencePerMessage bounds the evidence of each kind in a message of news, and pressingPerMessage that in a heartbeat. More news follows in further
+	// messages.
+	evidencePerMessage = 8
+	pressingPerMessage = 2
+	endsPerMessage     = 32
+	// culpritTTL is how long the store keeps a culprit after the last request with it, and culpritMaxAge when it is stored again.
+	culpritTTL    = 10 * time.Minute
+	culpritMaxAge = 5 * time.Minute
+	// culpritCheckPeriod is how often an instance checks whether culprits are to be stored. Each instance waits culpritTurn longer than the
+	// one ranked before it.
+	culpritCheckPeriod = 100 * time.Millisecond
+	culpritTurn        = 200 * time.Millisecond
+)
+
+const (
+	// requestCulprits follows the prefix of culprits in the keys of those that are whole requests.
+	requestCulprits = "request/"
+	// Values of the store's entries of culprits.
+	valueRefused = "refused"
+	valueCleared = "cleared"
+)
+
+// news is what other instances have to know of crashes.
+type news struct {
+	requests, parts []suspects.Evidence
+	ends            []suspects.EngineEnd
+}
+
+// sendNews sends new evidence and the ends of engines to other instances, until ctx ends.
+func (n *Instance) sendNews(ctx context.Context) error {
+	for pause.For(ctx, newsPause) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.crashes.Changed():
+		}
+		shared := news{ends: n.crashes.TakeEnds()}
+		var firstRequests, firstParts []suspects.Evidence
+		shared.requests, firstRequests = n.crashes.Requests.TakeChanged()
+		shared.parts, firstParts = n.crashes.Parts.TakeChanged()
+		for !shared.isEmpty() {
+			m := n.newsMessage(shared.takeSome())
+			for _, peer := range n.randomMembers(newsFanOut) {
+				n.send(peer.Peer, m, budget.Urgent)
+			}
+		}
+		byCollector := make(map[string]*news)
+		for _, e := range firstRequests {
+			n.addForCollectors(byCollector, e, func(l *news) *[]suspects.Evidence { return &l.requests })
+		}
+		for _, e := range firstParts {
+			n.addForCollectors(byCollector, e, func(l *news) *[]suspects.Evidence { return &l.parts })
+		}
+		for peer, list := range byCollector {
+			for !list.isEmpty() {
+				n.send(peer, n.newsMessage(list.takeSome()), budget.Urgent)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// addForCollectors adds evidence to the news of the instances that collect it.
+func (n *Instance) addForCollectors(byCollector map[string]*news, e suspects.Evidence, kind func(*news) *[]suspects.Evidence) {
+	peers := n.ranked(suspects.Culprit{e.ID})
+	for _, peer := range peers[:min(len(peers), newsFanOut)] {
+		if peer == n.self {
+			continue
+		}
+		if byCollector[peer] == nil {
+			byCollector[peer] = &news{}
+		}
+		list := kind(byCollector[peer])
+		*list = append(*list, e)
+	}
+}
+
+func (l *news) isEmpty() bool { return len(l.requests)+len(l.parts)+len(l.ends) == 0 }
+
+// takeSome removes and returns what fits in one message.
+func (l *news) takeSome() news {
+	return news{requests: takeFirst(&l.requests, evidencePerMessage), parts: takeFirst(&l.parts, evidencePerMessage), ends: takeFirst(&l.ends, endsPerMessage)}
+}
+
+// takeFirst removes and returns up to count elements.
+func takeFirst[T any](list *[]T, count int) []T {
+	count = min(count, len(*list))
+	first := (*list)[:count]
+	*list = (*list)[count:]
+	return first
+}
+
+func (n *Instance) newsMessage(l news) heartbeat.Message {
+	m, now := n.baseMessage(), time.Now()
+	m.Requests, m.Parts = encodeEvidence(l.requests, now), encodeEvidence(l.parts, now)
+	for _, e := range l.ends {
+		m.Ends = append(m.Ends, heartbeat.EngineEnd{Engine: e.Engine, Age: heartbeat.MillisOf(now.Sub(e.At))})
+	}
+	return m
+}
+
+// mergeNews merges what another instance has sent of crashes.
+func (n *Instance) mergeNews(m heartbeat.Message, now time.Time) {
+	for _, e := range m.Ends {
+		n.crashes.RecordEnd(suspects.EngineEnd{Engine: e.Engine, At: now.Add(-e.Age.Duration())}, now)
+	}
+	n.crashes.Requests.Merge(decodeEvidence(m.Requests, now), now)
+	n.crashes.Parts.Merge(decodeEvidence(m.Parts, now), now)
+}
+
+// withEvidence adds evidence that the receiver may lack to a heartbeat.
+func (n *Instance) withEvidence(m heartbeat.Message) heartbeat.Message {
+	now := time.Now()
+	m.Requests = encodeEvidence(n.crashes.Requests.Pressing(pressingPerMessage, now), now)
+	m.Parts = encodeEvidence(n.crashes.Parts.Pressing(pressingPerMessage, now), now)
+	return m
+}
+
+// ranked returns the peer addresses of the live instances, including this one, in an order for a culprit that all instances agree on.
+func (n *Instance) ranked(c suspects.Culprit) []string {
+	peers := []string{n.self}
+	for _, m := range n.members.Alive(boottime.Now()) {
+		peers = append(peers, m.Peer)
+	}
+	candidates := rank.EqualWeights(peers, func(peer string) string { return peer })
+	ordered := make([]string, 0, len(peers))
+	for _, i := range rank.Order(c.String(), candidates, len(peers)) {
+		ordered = append(ordered, peers[i])
+	}
+	return ordered
+}
+
+// storeCulprits writes culprits to the store, so that instances that start later know them, until ctx ends. The instance of highest rank
+// writes first; the others follow if the entry does not appear.
+func (n *Instance) storeCulprits(ctx context.Context) error {
+	var retryAt time.Time
+	for pause.For(ctx, culpritCheckPeriod) {
+		now := time.Now()
+		if now.Before(retryAt) {
+			continue
+		}
+		err := n.storeDue(ctx, n.crashes.Parts, n.platform.Keys.Culprits, now)
+		if err == nil {
+			err = n.storeDue(ctx, n.crashes.Requests, n.platform.Keys.Culprits+requestCulprits, now)
+		}
+		if err != nil {
+			retryAt = now.Add(maxRetryDelay)
+		}
+	}
+	return ctx.Err()
+}
+
+// storeDue writes the culprits of one kind that are due and whose turn has come.
+func (n *Instance) storeDue(ctx context.Context, t *suspects.Tracker, prefix string, now time.Time) error {
+	for _, due := range t.Due(culpritMaxAge, now) {
+		turn := time.Duration(slices.Index(n.ranked(due.Culprit), n.self)) * culpritTurn
+		if now.Sub(due.Since) < turn {
+			continue
+		}
+		if err := n.storeCulprit(ctx, prefix, due); err != nil {
+			n.log.Warn("culprit not stored", zap.String("key", prefix+due.Culprit.String()), zap.Error(err))
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Instance) storeCulprit(ctx context.Context, prefix string, due suspects.DueCulprit) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value := valueRefused
+	if due.Cleared {
+		value = valueCleared
+	}
+	_, err := n.platform.Store.PutWithLease(ctx, prefix+due.Culprit.String(), []byte(value), culpritTTL)
+	return err
+}
+
+// applyCulprit applies a changed entry of a culprit. An invalid entry is skipped.
+func (n *Instance) applyCulprit(entry mirror.Entry) {
+	name := strings.TrimPrefix(entry.Key, n.platform.Keys.Culprits)
+	t := n.crashes.Parts
+	if id, isRequest := strings.CutPrefix(name, requestCulprits); isRequest {
+		t, name = n.crashes.Requests, id
+	}
+	c, err := suspects.ParseCulprit(name)
+	if err != nil {
+		n.logInvalidEntry(entry, err)
+		return
+	}
+	refused := !entry.Deleted && string(entry.Value) == valueRefused
+	// Logged when requests with these subjects begin or cease to be refused.
+	n.log.Warn("culprit", zap.String("key", entry.Key), zap.Stringer("parts", c), zap.Bool("refused", refused), zap.Int64("revision", int64(entry.Revision)))
+	if refused {
+		t.SetStored(c, time.Now())
+		return
+	}
+	t.RemoveStored(c, time.Now())
+}
+
+// encodeEvidence converts evidence for a message, with ages at now.
+func encodeEvidence(list []suspects.Evidence, now time.Time) []heartbeat.Evidence {
+	var encoded []heartbeat.Evidence
+	for _, e := range list {
+		one := heartbeat.Evidence{ID: e.ID, Answered: heartbeat.NeverAnswered}
+		if !e.AnsweredAt.IsZero() {
+			one.Answered = heartbeat.MillisOf(now.Sub(e.AnsweredAt))
+		}
+		for _, c := range e.Crashes {
+			one.Crashes = append(one.Crashes, heartbeat.Crash{Engine: c.Engine, Age: heartbeat.MillisOf(now.Sub(c.At))})
+		}
+		encoded = append(encoded, one)
+	}
+	return encoded
+}
+
+// decodeEvidence converts the evidence of a message, whose ages count back from now.
+func decodeEvidence(list []heartbeat.Evidence, now time.Time) []suspects.Evidence {
+	decoded := make([]suspects.Evidence, len(list))
+	for i, e := range list {
+		decoded[i].ID = e.ID
+		if e.Answered >= 0 {
+			decoded[i].AnsweredAt = now.Add(-e.Answered.Duration())
+		}
+		for _, c := range e.Crashes {
+			decoded[i].Crashes = append(decoded[i].Crashes, suspects.Crash{Engine: c.Engine, At: now.Add(-c.Age.Duration())})
+		}
+	}
+	return decoded
+}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -44,8 +44,6 @@
 	limitsPerMessage = 6
 	// backoffsPerMessage bounds the number of back-offs of unreachable engines in a heartbeat.
 	backoffsPerMessage = 8
-	// suspectsPerMessage bounds the number of requests in an ack that are suspected of crashing engines.
-	suspectsPerMessage = 4
 	// maxHolders bounds the holders that a starting instance fetches, to about 32 KB.
 	maxHolders = 2048
 	// maxInlineChanges bounds the number of store changes in an ack; the peer fetches more than these over TCP.
@@ -175,9 +173,8 @@
 		limits[i] = placing.Limit{Engine: l.Engine, Rate: l.Rate, At: wall.Add(-l.Age.Duration())}
 	}
 	n.table.MergeLimits(limits)
-	n.suspects.Merge(b.Suspects, wall)
 	n.table.MergeSurges(b.Surges, wall)
-	n.parts.Merge(decodePartEvidence(b.Parts, wall), wall)
+	n.mergeNews(b, wall)
 	n.recordHolders(b.Holders, wall)
 	if b.EchoedSentAt > 0 {
 		n.applyAck(b)
@@ -227,12 +224,11 @@
 	n.send(b.PeerAddress, ack, kind)
 }
 
-// newPing returns a ping with the loads, back-offs and recent holders that this instance knows.
+// newPing returns a ping with the loads, back-offs, recent holders and evidence on crashes that this instance knows.
 func (n *Instance) newPing() heartbeat.Message {
-	b := n.withLoads(n.baseMessage())
+	b := n.withEvidence(n.withLoads(n.baseMessage()))
 	wall := time.Now()
 	b.Holders = encodeHolders(n.table.RecentHolders(wall.Add(-holderSpan), holdersPerMessage), wall)
-	b.Parts = encodePartEvidence(n.parts.Pressing(pressingPartsPerMessage, wall), wall)
 	for _, l := range n.table.RecentLimits(limitsPerMessage, wall) {
 		b.Limits = append(b.Limits, heartbeat.Limit{Engine: l.Engine, Rate: l.Rate, Age: heartbeat.MillisOf(wall.Sub(l.At))})
 	}
@@ -240,9 +236,9 @@
 	return b
 }
 
-// newAck returns the ack of a ping, with the observations of other instances, the loads and back-offs, and the suspects.
+// newAck returns the ack of a ping, with the observations of other instances, the loads, back-offs and evidence on crashes.
 func (n *Instance) newAck(sentAt boottime.Instant) heartbeat.Message {
-	b := n.withLoads(n.baseMessage())
+	b := n.withEvidence(n.withLoads(n.baseMessage()))
 	now := boottime.Now()
 	var observations []heartbeat.Observation
 	for _, m := range n.members.Latest(observationsPerMessage, now) {
@@ -252,7 +248,6 @@
 	}
 	b.Observations = heartbeat.PackObservations(observations)
 	b.EchoedSentAt = sentAt
-	b.Suspects = n.suspects.Recent(suspectsPerMessage, time.Now())
 	return b
 }
 
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -82,7 +82,7 @@
 		// Engines and Instances are prefixes.
 		Engines   string
 		Instances string
-		// Culprits is the prefix of the parts of prompts on which engines crash.
+		// Culprits is the prefix of the requests and parts of prompts on which engines crash.
 		Culprits string
 	}
 
@@ -122,8 +122,7 @@
 		heartbeats    *heartbeat.Conn
 		controlBudget *budget.Budget
 		metrics       *metrics.Registry
-		suspects      *suspects.Table
-		parts         *suspects.Parts
+		crashes       *suspects.Crashes
 		stopping      atomic.Bool
 		// storeUnreachable says that the last read of the store failed.
 		storeUnreachable atomic.Bool
@@ -176,7 +175,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
-		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), suspects: suspects.New(), parts: suspects.NewParts(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
+		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
 	}
 	n.settings.Store(&s)
 	n.snapshot.Store(&snapshot{engines: engines.NewList(nil)})
@@ -213,7 +212,7 @@
 	group.Go(func() error { return n.heartbeats.Run(groupCtx, n.handleHeartbeat, n.serveFetch, n.logMessageError) })
 	group.Go(func() error { return n.sendHeartbeats(groupCtx) })
 	group.Go(func() error { return n.sendSurges(groupCtx) })
-	group.Go(func() error { return n.sendPartEvidence(groupCtx) })
+	group.Go(func() error { return n.sendNews(groupCtx) })
 	group.Go(func() error { return n.storeCulprits(groupCtx) })
 	group.Go(func() error { return n.followPeers(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
@@ -259,7 +258,7 @@
 	}
 	return forward.New(forward.Dependencies{
 		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
-		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Suspects: n.suspects, Parts: n.parts, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
+		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
 	})
 }
 
@@ -286,12 +285,11 @@
 	}
 }
 
-// sweep removes expired suspects, idle connections, and the state of unregistered engines, until ctx ends.
+// sweep removes expired evidence on crashes, idle connections, and the state of unregistered engines, until ctx ends.
 func (n *Instance) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepPeriod) {
 		now := time.Now()
-		n.suspects.Sweep(now)
-		n.parts.Sweep(now)
+		n.crashes.Sweep(now)
 		addresses := make(map[string]bool)
 		list := n.snapshot.Load().engines
 		for _, e := range list.All() {
--- a/request/suspects/culprits.go
+++ b/request/suspects/culprits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,32 +13,20 @@
 )
 
 const (
-	// minCrashes is the number of crashes from which a part is a culprit if no engine has ever answered it, and minCrashesAfterAnswer if one
-	// has. Crashes that another culprit explains do not count.
-	minCrashes            = 3
-	minCrashesAfterAnswer = 5
-	// minIncidents and minIncidentsAfterAnswer are the number of incidents to which these crashes must belong. Crashes within incidentSpan are one
-	// incident: all engines may crash at once, with all the requests that they run.
-	minIncidents            = 2
-	minIncidentsAfterAnswer = 3
-	incidentSpan            = 300 * time.Millisecond
-	// objectionTime is how long a culprit is not refused after enough crashes became known, so that instances that have answers on its parts
-	// can say so.
-	objectionTime = 300 * time.Millisecond
 	// answerPrecision is the difference up to which two times of an answer mean the same one.
 	answerPrecision = 50 * time.Millisecond
-	// maxPartsPerCulprit keeps the key of a culprit within what stores accept.
-	maxPartsPerCulprit = 8
+	// maxIDsPerCulprit keeps the key of a culprit within what stores accept.
+	maxIDsPerCulprit = 8
 	// recentlyRefused is how long a culprit counts as requested after its last refusal.
 	recentlyRefused = time.Minute
-	// partNameBase is the base in which keys write the numbers of parts.
-	partNameBase = 36
+	// idBase is the base in which keys write IDs.
+	idBase = 36
 )
 
 type (
-	// Culprit is a set of parts, in ascending order: requests that have all of them in their prompts crash engines. It has several parts as
+	// Culprit is a set of subjects, in ascending order: requests that have all of them crash engines. It has several subjects as
 	// long as these occurred in the same crashed requests only.
-	Culprit []PartID
+	Culprit []ID
 
 	// DueCulprit is a culprit that is to be stored, or to be cleared in the store, and the time since when.
 	DueCulprit struct {
@@ -47,29 +36,29 @@
 	}
 
 	foundCulprit struct {
-		parts Culprit
+		ids Culprit
 		// refusedFrom is the time from which it is refused.
 		refusedFrom time.Time
 	}
 
 	storedCulprit struct {
-		parts              Culprit
+		ids                Culprit
 		knownAt, refusedAt time.Time
 	}
 
 	// candidate is a part with the crashes since its last answer.
 	candidate struct {
-		id       PartID
+		id       ID
 		crashes  []knownCrash
 		answered bool
 	}
 )
 
-// String returns the parts in the form that ParseCulprit reads.
+// String returns the IDs in the form that ParseCulprit reads.
 func (c Culprit) String() string {
 	names := make([]string, len(c))
 	for i, id := range c {
-		names[i] = strconv.FormatUint(uint64(id), partNameBase)
+		names[i] = id.String()
 	}
 	return strings.Join(names, "-")
 }
@@ -78,156 +67,177 @@
 func ParseCulprit(text string) (Culprit, error) {
 	var c Culprit
 	for name := range strings.SplitSeq(text, "-") {
-		id, err := strconv.ParseUint(name, partNameBase, 64)
+		id, err := strconv.ParseUint(name, idBase, 64)
 		if err != nil {
 			return nil, errors.Wrapf(err, "culprit %q", text)
 		}
-		c = append(c, PartID(id))
+		c = append(c, ID(id))
 	}
 	slices.Sort(c)
 	return c, nil
 }
 
-// Refuses reports whether a request with these parts would crash its engine.
-func (p *Parts) Refuses(parts []PartID, now time.Time) bool {
-	if len(parts) == 0 {
+// Refuses reports whether a request with these subjects would crash its engine.
+func (t *Tracker) Refuses(ids []ID, now time.Time) bool {
+	if len(ids) == 0 {
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.determine()
-	refused := slices.ContainsFunc(p.found, func(f foundCulprit) bool { return !now.Before(f.refusedFrom) && f.parts.within(parts) })
-	for name, s := range p.stored {
-		if s.parts.within(parts) && !p.isRefuted(s) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.determine()
+	refused := false
+	for _, f := range t.found {
+		if !now.Before(f.refusedFrom) && f.ids.within(ids) {
+			t.markRefused(f.ids, now)
+			refused = true
+		}
+	}
+	for name, s := range t.stored {
+		if s.ids.within(ids) && !t.isRefuted(s) {
 			s.refusedAt, refused = now, true
-			p.stored[name] = s
+			t.stored[name] = s
 		}
 	}
 	return refused
 }
 
 // SetStored records that the store holds a culprit.
-func (p *Parts) SetStored(c Culprit, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stored[c.String()] = storedCulprit{parts: c, knownAt: now}
+func (t *Tracker) SetStored(c Culprit, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stored[c.String()] = storedCulprit{ids: c, knownAt: now}
 }
 
-// RemoveStored records that a culprit has left the store. Its parts then count as answered now, except those of other stored culprits.
-func (p *Parts) RemoveStored(c Culprit, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.stored, c.String())
+// RemoveStored records that a culprit has left the store. Its subjects then count as answered now, except those of other stored culprits.
+func (t *Tracker) RemoveStored(c Culprit, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.stored, c.String())
 	for _, id := range c {
-		if !slices.ContainsFunc(slices.Collect(maps.Values(p.stored)), func(s storedCulprit) bool { return slices.Contains(s.parts, id) }) {
-			p.suspect(id).answeredAt = now
+		if !slices.ContainsFunc(slices.Collect(maps.Values(t.stored)), func(s storedCulprit) bool { return slices.Contains(s.ids, id) }) {
+			t.suspect(id).answeredAt = now
 		}
 	}
-	p.outdated = true
+	t.outdated = true
 }
 
 // Due returns the changes that the store lacks: culprits that were found, culprits that it has held for maxAge and that requests still contain,
 // and culprits that later evidence has refuted.
-func (p *Parts) Due(maxAge time.Duration, now time.Time) []DueCulprit {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.determine()
+func (t *Tracker) Due(maxAge time.Duration, now time.Time) []DueCulprit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.determine()
 	var due []DueCulprit
-	for _, f := range p.found {
-		if _, stored := p.stored[f.parts.String()]; !stored && !now.Before(f.refusedFrom) {
-			due = append(due, DueCulprit{Culprit: f.parts, Since: f.refusedFrom})
+	for _, f := range t.found {
+		if !t.isStored(f) && !now.Before(f.refusedFrom) && (!t.policy.StoresOnlyRefused || t.wasRefused(f.ids)) {
+			due = append(due, DueCulprit{Culprit: f.ids, Since: f.refusedFrom})
 		}
 	}
-	for _, s := range p.stored {
+	for _, s := range t.stored {
 		switch {
-		case p.isRefuted(s):
-			due = append(due, DueCulprit{Culprit: s.parts, Cleared: true, Since: s.knownAt})
+		case t.isRefuted(s):
+			due = append(due, DueCulprit{Culprit: s.ids, Cleared: true, Since: s.knownAt})
 		case now.Sub(s.knownAt) >= maxAge && now.Sub(s.refusedAt) < recentlyRefused:
-			due = append(due, DueCulprit{Culprit: s.parts, Since: s.knownAt.Add(maxAge)})
+			due = append(due, DueCulprit{Culprit: s.ids, Since: s.knownAt.Add(maxAge)})
 		}
 	}
 	return due
 }
 
-// Pressing returns up to limit pieces of evidence that other instances may still lack: on culprits that are not stored, and on parts with
-// recent crashes and no answer since.
-func (p *Parts) Pressing(limit int, now time.Time) []PartEvidence {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.determine()
-	var ids []PartID
-	for _, f := range p.found {
-		if _, stored := p.stored[f.parts.String()]; !stored {
-			ids = append(ids, f.parts...)
+// Pressing returns up to limit pieces of evidence that other instances may still lack, at random: on culprits that are to be stored and are not, and
+// on subjects with recent crashes and no answer since.
+func (t *Tracker) Pressing(limit int, now time.Time) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.determine()
+	var ids []ID
+	for _, f := range t.found {
+		if !t.isStored(f) && (!t.policy.StoresOnlyRefused || t.wasRefused(f.ids)) {
+			ids = append(ids, f.ids...)
 		}
 	}
-	for _, id := range p.suspects.Keys() {
-		s, ok := p.suspects.Peek(id)
+	for _, id := range t.suspects.Keys() {
+		s, ok := t.suspects.Peek(id)
 		if ok && len(s.sinceAnswer()) >= minSharedCrashes && now.Sub(s.changedAt) < shareWindow && !slices.Contains(ids, id) {
 			ids = append(ids, id)
 		}
 	}
-	var list []PartEvidence
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	var list []Evidence
 	for _, id := range ids[:min(limit, len(ids))] {
-		if s, ok := p.suspects.Peek(id); ok {
+		if s, ok := t.suspects.Peek(id); ok {
 			list = append(list, s.evidence(id))
 		}
 	}
 	return list
 }
 
-// isRefuted reports whether engines have answered all parts of a stored culprit since, or the evidence of this instance explains its crashes
+func (t *Tracker) isStored(f foundCulprit) bool {
+	_, stored := t.stored[f.ids.String()]
+	return stored
+}
+
+// wasRefused reports whether this instance has refused a request for the culprit.
+func (t *Tracker) wasRefused(c Culprit) bool {
+	s, ok := t.suspects.Peek(c[0])
+	return ok && !s.refusedAt.IsZero()
+}
+
+func (t *Tracker) markRefused(c Culprit, now time.Time) {
+	for _, id := range c {
+		if s, ok := t.suspects.Peek(id); ok {
+			s.refusedAt = now
+		}
+	}
+}
+
+// isRefuted reports whether engines have answered all subjects of a stored culprit since, or the evidence of this instance explains its crashes
 // otherwise.
-func (p *Parts) isRefuted(c storedCulprit) bool {
+func (t *Tracker) isRefuted(c storedCulprit) bool {
 	answered, explained := true, true
-	for _, id := range c.parts {
-		s, ok := p.suspects.Peek(id)
-		at, _ := p.answered.Peek(id)
+	for _, id := range c.ids {
+		s, ok := t.suspects.Peek(id)
+		at, _ := t.answered.Peek(id)
 		if ok && s.answeredAt.After(at) {
 			at = s.answeredAt
 		}
 		answered = answered && at.After(c.knownAt)
-		explained = explained && ok && s.candidate(id).isProven()
+		explained = explained && ok && t.isProven(s.candidate(id))
 	}
 	if explained {
-		p.determine()
-		explained = !slices.ContainsFunc(p.found, func(f foundCulprit) bool { return f.parts.within(c.parts) })
+		t.determine()
+		explained = !slices.ContainsFunc(t.found, func(f foundCulprit) bool { return f.ids.within(c.ids) })
 	}
 	return answered || explained
 }
 
-// determine determines the culprits from the evidence: repeatedly the parts with the most crashes, without those that a culprit explains.
-func (p *Parts) determine() {
-	if !p.outdated {
+// determine determines the culprits from the evidence: repeatedly the subjects with the most crashes, without those that a culprit explains.
+func (t *Tracker) determine() {
+	if !t.outdated {
 		return
 	}
-	p.outdated, p.found = false, nil
+	t.outdated, t.found = false, nil
 	explained := make(map[engines.Key]bool)
-	candidates := p.candidates()
+	candidates := t.candidates()
 	for {
-		group, crashes := worst(candidates, explained)
+		group, crashes := t.policy.worst(candidates, explained)
 		if len(group) == 0 {
 			return
 		}
-		knownAt, _ := group[0].provenAt(crashes)
-		f := foundCulprit{refusedFrom: knownAt.Add(objectionTime)}
-		for _, c := range group[:min(len(group), maxPartsPerCulprit)] {
-			f.parts = append(f.parts, c.id)
-		}
-		slices.Sort(f.parts)
-		p.found = append(p.found, f)
+		knownAt, _ := t.policy.provenAt(group[0], crashes)
+		t.found = append(t.found, t.policy.culprits(group, knownAt.Add(t.policy.ObjectionTime))...)
 		for _, c := range crashes {
 			explained[c.Engine] = true
 		}
 	}
 }
 
-// candidates returns the parts on which enough engines have crashed since the last answer.
-func (p *Parts) candidates() []candidate {
+// candidates returns the subjects on which enough engines have crashed since the last answer.
+func (t *Tracker) candidates() []candidate {
 	var list []candidate
-	for _, id := range p.suspects.Keys() {
-		if s, ok := p.suspects.Peek(id); ok {
-			if c := s.candidate(id); c.isProven() {
+	for _, id := range t.suspects.Keys() {
+		if s, ok := t.suspects.Peek(id); ok {
+			if c := s.candidate(id); t.isProven(c) {
 				list = append(list, c)
 			}
 		}
@@ -235,25 +245,43 @@
 	return list
 }
 
-func (s *partState) candidate(id PartID) candidate {
+func (s *state) candidate(id ID) candidate {
 	return candidate{id: id, crashes: s.sinceAnswer(), answered: !s.answeredAt.IsZero()}
 }
 
 // isProven reports whether the crashes since the last answer are enough for a culprit, if no other one explains them.
-func (c candidate) isProven() bool {
-	_, proven := c.provenAt(c.crashes)
+func (t *Tracker) isProven(c candidate) bool {
+	_, proven := t.policy.provenAt(c, c.crashes)
 	return proven
 }
 
+// culprits returns the culprits that follow from candidates with the same crashes.
+func (p Policy) culprits(group []candidate, refusedFrom time.Time) []foundCulprit {
+	ids := make([]ID, len(group))
+	for i, c := range group {
+		ids[i] = c.id
+	}
+	each := 1
+	if p.Joint {
+		ids = ids[:min(len(ids), maxIDsPerCulprit)]
+		each = len(ids)
+	}
+	var list []foundCulprit
+	for part := range slices.Chunk(ids, each) {
+		list = append(list, foundCulprit{ids: slices.Sorted(slices.Values(part)), refusedFrom: refusedFrom})
+	}
+	return list
+}
+
 // provenAt returns when this instance knew enough of the unexplained crashes for the candidate to be a culprit, or false.
-func (c candidate) provenAt(crashes []knownCrash) (time.Time, bool) {
-	minimum, incidents := minCrashes, minIncidents
+func (p Policy) provenAt(c candidate, crashes []knownCrash) (time.Time, bool) {
+	proof := p.Unanswered
 	if c.answered {
-		minimum, incidents = minCrashesAfterAnswer, minIncidentsAfterAnswer
+		proof = p.Answered
 	}
 	crashes = slices.SortedFunc(slices.Values(crashes), func(a, b knownCrash) int { return a.knownAt.Compare(b.knownAt) })
-	for n := minimum; n <= len(crashes); n++ {
-		if countIncidents(crashes[:n]) >= incidents {
+	for n := proof.Crashes; n <= len(crashes); n++ {
+		if countIncidents(crashes[:n]) >= proof.Incidents {
 			return crashes[n-1].knownAt, true
 		}
 	}
@@ -272,9 +300,9 @@
 	return count
 }
 
-// worst returns the candidates with the most unexplained crashes, and these crashes. Parts that no engine has answered come first. All
+// worst returns the candidates with the most unexplained crashes, and these crashes. Subjects that no engine has answered come first. All
 // candidates that it returns have the same crashes.
-func worst(candidates []candidate, explained map[engines.Key]bool) ([]candidate, []knownCrash) {
+func (p Policy) worst(candidates []candidate, explained map[engines.Key]bool) ([]candidate, []knownCrash) {
 	var group []candidate
 	var most []knownCrash
 	for _, c := range candidates {
@@ -284,7 +312,7 @@
 				crashes = append(crashes, k)
 			}
 		}
-		_, proven := c.provenAt(crashes)
+		_, proven := p.provenAt(c, crashes)
 		switch {
 		case !proven:
 		case len(group) == 0 || (group[0].answered && !c.answered) || (group[0].answered == c.answered && len(crashes) > len(most)):
@@ -309,10 +337,10 @@
 	return true
 }
 
-// within reports whether parts contains all parts of the culprit.
-func (c Culprit) within(parts []PartID) bool {
+// within reports whether ids contains all subjects of the culprit.
+func (c Culprit) within(ids []ID) bool {
 	for _, id := range c {
-		if !slices.Contains(parts, id) {
+		if !slices.Contains(ids, id) {
 			return false
 		}
 	}
--- a/request/suspects/doc.go
+++ b/request/suspects/doc.go
@@ -1,3 +1,3 @@
-// Package suspects tracks the engines that crashed while they ran a request, so that no request crashes more than two engines, and the parts of
-// prompts on which engines crash, whatever else the requests contain.
+// Package suspects holds the evidence on what crashes engines: whole requests, and parts of prompts, whatever else the requests contain. Instances
+// exchange it, so that no request crashes more than two engines unless several run it at once.
 package suspects
--- /dev/null
+++ b/request/suspects/tracker.go
@@ -0,0 +1,242 @@
+package suspects
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+const (
+	// maxCrashesKept is the number of crashes that are kept for a subject, and maxSentCrashes that in a message, the latest ones.
+	maxCrashesKept = 32
+	maxSentCrashes = 8
+	// minSharedCrashes is the number of crashes from which the evidence against a subject is sent to all instances.
+	minSharedCrashes = 2
+	maxSubjects      = 4096
+	maxAnswered      = 8192
+)
+
+type (
+	// ID identifies a subject of evidence by a hash: a request, or a part of prompts whatever the model is.
+	ID uint64
+
+	// Crash is the crash of an engine that ran a request with a subject.
+	Crash struct {
+		Engine engines.Key
+		At     time.Time
+	}
+
+	// Evidence is the evidence for and against a subject.
+	Evidence struct {
+		ID ID
+		// Crashes holds up to maxSentCrashes of the latest crashes, oldest first.
+		Crashes []Crash
+		// AnsweredAt is the latest time at which an engine completed an answer on the subject, or zero.
+		AnsweredAt time.Time
+	}
+
+	// Tracker tracks the subjects of one kind on which engines crashed, from the evidence of all instances. It is safe for concurrent use.
+	Tracker struct {
+		policy   Policy
+		mu       sync.Mutex
+		suspects *simplelru.LRU[ID, *state]
+		// answered holds when an engine of this instance last completed an answer on a subject.
+		answered *simplelru.LRU[ID, time.Time]
+		unsent   []ID
+		changed  chan struct{}
+		// found are the culprits that follow from the evidence. They are determined again when outdated is set.
+		found    []foundCulprit
+		outdated bool
+		// stored are the culprits in the platform's store, by their texts.
+		stored map[string]storedCulprit
+	}
+
+	state struct {
+		crashes    []knownCrash
+		answeredAt time.Time
+		changedAt  time.Time
+		// refusedAt is when this instance last refused a request for the subject, or zero.
+		refusedAt time.Time
+	}
+
+	knownCrash struct {
+		Crash
+		// knownAt is when this instance learned of the crash.
+		knownAt time.Time
+	}
+)
+
+// NewTracker returns an empty Tracker.
+func NewTracker(p Policy) *Tracker { return newTracker(p, make(chan struct{}, 1)) }
+
+// newTracker returns a Tracker that sends on changed when TakeChanged has something to return.
+func newTracker(p Policy, changed chan struct{}) *Tracker {
+	return &Tracker{
+		policy: p, suspects: newLRU[*state](maxSubjects), answered: newLRU[time.Time](maxAnswered), changed: changed, stored: make(map[string]storedCulprit),
+	}
+}
+
+// String returns the ID as it stands in logs and in the keys of culprits.
+func (id ID) String() string { return strconv.FormatUint(uint64(id), idBase) }
+
+// NewPart returns the ID of the part with the given name.
+func NewPart(name string) ID { return ID(xxhash.Sum64String(name)) }
+
+// RecordCrash records that an engine crashed while it ran a request with these subjects.
+func (t *Tracker) RecordCrash(ids []ID, c Crash, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		if s := t.suspect(id); s.add(c, now) {
+			t.markChanged(id, s, now)
+		}
+	}
+}
+
+// RecordAnswer records that an engine has completed an answer to a request with these subjects.
+func (t *Tracker) RecordAnswer(ids []ID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.answered.Add(id, now)
+		s, ok := t.suspects.Peek(id)
+		if !ok {
+			continue
+		}
+		wasShared := len(s.sinceAnswer()) >= minSharedCrashes
+		s.answeredAt = now
+		if wasShared {
+			t.markChanged(id, s, now)
+		}
+	}
+}
+
+// Merge adds the evidence that another instance has sent. It is sent on if it brings a subject closer to being a culprit, or farther from it.
+func (t *Tracker) Merge(list []Evidence, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range list {
+		s := t.suspect(e.ID)
+		before, theirs := len(s.sinceAnswer()), 0
+		added := false
+		for _, c := range e.Crashes {
+			added = s.add(c, now) || added
+			if c.At.After(e.AnsweredAt) {
+				theirs++
+			}
+		}
+		// Messages carry ages, so the times of one answer differ by their transmission.
+		difference := e.AnsweredAt.Sub(s.answeredAt)
+		differs := difference.Abs() > answerPrecision
+		if differs && difference > 0 {
+			s.answeredAt = e.AnsweredAt
+		}
+		if (differs && max(before, theirs) >= minSharedCrashes) || (added && len(s.sinceAnswer()) >= minSharedCrashes) {
+			t.markChanged(e.ID, s, now)
+		}
+		t.outdated = t.outdated || added || differs
+	}
+}
+
+// TakeChanged returns the evidence that has changed since the last call: what all instances need, and what only concerns those that collect
+// the first evidence on a subject.
+func (t *Tracker) TakeChanged() (shared, first []Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slices.Sort(t.unsent)
+	for _, id := range slices.Compact(t.unsent) {
+		s, ok := t.suspects.Peek(id)
+		if !ok {
+			continue
+		}
+		if len(s.crashes) >= minSharedCrashes {
+			shared = append(shared, s.evidence(id))
+		} else {
+			first = append(first, s.evidence(id))
+		}
+	}
+	t.unsent = nil
+	return shared, first
+}
+
+// Sweep removes the evidence on subjects after Retention.
+func (t *Tracker) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range t.suspects.Keys() {
+		if s, ok := t.suspects.Peek(id); ok && now.Sub(s.changedAt) >= Retention {
+			t.suspects.Remove(id)
+			t.outdated = true
+		}
+	}
+}
+
+// suspect returns the state of a subject, which it creates with the last answer of this instance.
+func (t *Tracker) suspect(id ID) *state {
+	s, ok := t.suspects.Get(id)
+	if !ok {
+		s = &state{}
+		t.suspects.Add(id, s)
+	}
+	if at, ok := t.answered.Peek(id); ok && at.After(s.answeredAt) {
+		s.answeredAt = at
+	}
+	return s
+}
+
+func (t *Tracker) markChanged(id ID, s *state, now time.Time) {
+	s.changedAt, t.outdated = now, true
+	t.unsent = append(t.unsent, id)
+	notify(t.changed)
+}
+
+func notify(changed chan<- struct{}) {
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+}
+
+// add adds a crash and reports whether it was not known.
+func (s *state) add(c Crash, now time.Time) bool {
+	known := func(k knownCrash) bool { return k.Engine == c.Engine }
+	if slices.ContainsFunc(s.crashes, known) || (len(s.crashes) == maxCrashesKept && c.At.Before(s.crashes[0].At)) {
+		return false
+	}
+	s.crashes = append(s.crashes, knownCrash{Crash: c, knownAt: now})
+	slices.SortStableFunc(s.crashes, func(a, b knownCrash) int { return a.At.Compare(b.At) })
+	s.crashes = s.crashes[max(len(s.crashes)-maxCrashesKept, 0):]
+	s.changedAt = now
+	return true
+}
+
+// sinceAnswer returns the crashes after the last answer on the subject.
+func (s *state) sinceAnswer() []knownCrash {
+	for i, c := range s.crashes {
+		if c.At.After(s.answeredAt) {
+			return s.crashes[i:]
+		}
+	}
+	return nil
+}
+
+func (s *state) evidence(id ID) Evidence {
+	e := Evidence{ID: id, AnsweredAt: s.answeredAt}
+	for _, c := range s.crashes[max(len(s.crashes)-maxSentCrashes, 0):] {
+		e.Crashes = append(e.Crashes, c.Crash)
+	}
+	return e
+}
+
+func newLRU[V any](size int) *simplelru.LRU[ID, V] {
+	lru, err := simplelru.NewLRU[ID, V](size, nil)
+	if err != nil {
+		panic(err)
+	}
+	return lru
+}
--- a/request/suspects/parts_test.go
+++ b/request/suspects/tracker_test.go
@@ -11,15 +11,17 @@
 
 // fleet is a few instances that exchange evidence at once.
 type fleet struct {
-	instances []*Parts
+	instances []*Tracker
 	now       time.Time
 	engine    engines.Key
 }
 
-func newFleet(size int) *fleet {
+func newFleet(size int) *fleet { return newFleetOf(size, PartPolicy()) }
+
+func newFleetOf(size int, p Policy) *fleet {
 	f := &fleet{now: time.Unix(1000, 0)}
 	for range size {
-		f.instances = append(f.instances, NewParts())
+		f.instances = append(f.instances, NewTracker(p))
 	}
 	return f
 }
@@ -81,8 +83,8 @@
 	return all
 }
 
-func ids(names []string) []PartID {
-	list := make([]PartID, len(names))
+func ids(names []string) []ID {
+	list := make([]ID, len(names))
 	for i, name := range names {
 		list[i] = NewPart(name)
 	}
@@ -185,10 +187,10 @@
 	f := newFleet(2)
 	f.instances[1].RecordAnswer(ids([]string{"sound"}), f.now)
 	f.now = f.now.Add(time.Second)
-	for e := range engines.Key(minCrashes) {
+	for e := range engines.Key(PartPolicy().Unanswered.Crashes) {
 		f.instances[0].RecordCrash(ids([]string{"sound"}), Crash{Engine: e, At: f.now}, f.now)
 	}
-	if f.instances[0].Refuses(ids([]string{"sound"}), f.now.Add(objectionTime-time.Millisecond)) {
+	if f.instances[0].Refuses(ids([]string{"sound"}), f.now.Add(PartPolicy().ObjectionTime-time.Millisecond)) {
 		t.Error("refused before others could object")
 	}
 	f.exchange()
@@ -200,7 +202,7 @@
 // TestCulpritOfOthersIsNotCleared guards against clearing a stored culprit on an instance that knows only some of its crashes.
 func TestCulpritOfOthersIsNotCleared(t *testing.T) {
 	f := newFleet(1)
-	f.crashAtOnce(2*minCrashes, []string{"guilty"})
+	f.crashAtOnce(2*PartPolicy().Unanswered.Crashes, []string{"guilty"})
 	f.instances[0].SetStored(ids([]string{"guilty"}), f.now)
 	if due := f.instances[0].Due(time.Minute, f.now); len(due) > 0 || !f.instances[0].Refuses(ids([]string{"guilty"}), f.now) {
 		t.Errorf("the culprit is not refused, or due are %v", due)
