fix(placing): engines that are leaving or want no requests get none

Callers were refused while other engines were idle: an engine that answered 503 with Retry-After got hundreds of requests in the time for which it wanted none, and an engine that had said Server-Leaving got requests until its entry in the store changed.

Cause: no code read either field. Each word of an engine had its own code, written for the rule that named it. All that an answer says about its engine is now decoded in one place and recorded as one value, for every answer. The choice leaves out engines that are leaving, for good, and those that want nothing, until the time that they named; other engines take the requests. Both outlive a missing entry in the store. If no engine is left for such a reason, the caller is refused at once and told when one takes requests again.

Tests of placing pass loads and limits by RecordNotice and MergeLimits, as the program does.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -84,8 +84,8 @@
 		suspected, culprit bool
 		// answeringSince is when the first event of the current attempt arrived, or zero.
 		answeringSince time.Time
-		// limitedFor is the time until an engine takes the request, if limits that engines name are why it is refused.
-		limitedFor time.Duration
+		// acceptedIn is the time until an engine accepts the request, if limits or pauses that engines name are why it is refused.
+		acceptedIn time.Duration
 		// retryReserved says that the retry was already taken from the budget when the last attempt was abandoned.
 		retryReserved atomic.Bool
 		// sends counts the attempts that reached an engine, and runs those that the engine may have run.
@@ -138,8 +138,8 @@
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
 			x.verdict = "no engine is left"
-			if wait, limited := x.Table.UntilWithinLimit(x.snapshot.Engines, request, now); limited {
-				x.limitedFor, x.verdict = wait, "the engines are at their limits"
+			if wait, waits := x.Table.UntilAccepted(x.snapshot.Engines, request, now); waits {
+				x.acceptedIn, x.verdict = wait, "the engines are at their limits or take no requests for now"
 				x.Metrics.Add("limitsRefused", 1)
 			}
 			break
@@ -195,10 +195,7 @@
 	}
 	x.sends++
 	defer func() { _ = resp.Body.Close() }()
-	if report, ok := x.Names.ParseLoad(resp.Header.Get(x.Names.Load)); ok {
-		x.Table.RecordReport(e, report, time.Now())
-	}
-	x.recordLimit(resp, e)
+	x.Table.RecordNotice(e.Key, x.Names.notice(resp), time.Now())
 	if resp.Header.Get(x.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		x.reason = "the engine refused with status " + strconv.Itoa(resp.Status)
 		if resp.Status == http.StatusMisdirectedRequest {
@@ -216,18 +213,6 @@
 	return x.relayBuffered(ctx, resp, e, inFlight)
 }
 
-// recordLimit records whether an answer names a limit of the engine. A failure without one does not say that the engine has none.
-func (x *exchange) recordLimit(resp *upstream.Response, e engines.Engine) {
-	l := placing.Limit{Engine: e.Key, At: time.Now()}
-	text := resp.Header.Get(x.Names.Limit)
-	if rate, err := strconv.ParseFloat(text, 32); err == nil && rate >= 0 && !math.IsInf(rate, 0) {
-		l.Rate = max(placing.RequestRate(rate), placing.MinLimit)
-	} else if text != "" || resp.Status >= 300 || resp.Header.Get(x.Names.ResponseSeal) == "" {
-		return
-	}
-	x.Table.RecordLimit(l)
-}
-
 // attemptTimeout returns how long an attempt may wait for the start of the answer. The time-out is longer if the engine has a long
 // prompt to prefill. It returns false if the attempt must not time out, because no other engine may be tried or the route has no target
 // time.
@@ -382,8 +367,8 @@
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterCulprit
 	case x.runs == 0 && !x.suspected:
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterOverload
-		if x.limitedFor > 0 {
-			refused.retryAfter = min(max(x.limitedFor, retryAfterOtherInstance), retryAfterLimit)
+		if x.acceptedIn > 0 {
+			refused.retryAfter = min(max(x.acceptedIn, retryAfterOtherInstance), retryAfterLimit)
 		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
 		refused.status, refused.reason = http.StatusGatewayTimeout, "the time allowed has passed"
--- a/request/placing/bench_test.go
+++ b/request/placing/bench_test.go
@@ -20,7 +20,7 @@
 				table.SetRemoteLoads(fmt.Sprint("instance-", i), map[engines.Key]int{}, start)
 			}
 			for _, e := range all.All() {
-				table.RecordReport(e, Report{Running: 1}, start)
+				table.RecordNotice(e.Key, Notice{Load: &Report{Running: 1}}, start)
 			}
 			b.ReportAllocs()
 			for i := range b.N {
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -102,7 +102,7 @@
 )
 
 // Choose returns the engine with the lowest cost and counts the request towards its load. It returns false if no untried engine is left that takes
-// the request within its limit, or, while limits make the others crowded, without waiting for a slot.
+// requests and takes this one within its limit, or, while limits make the others crowded, without waiting for a slot.
 func (t *Table) Choose(all *engines.List, r Request, now time.Time) (Choice, *Placement, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,7 +128,7 @@
 		}
 		s := t.engineState(e.Key)
 		room := t.roomAt(e.Key, s, now)
-		if room == noRoom || (crowded && e.Slots > 0 && loads[i] >= e.Slots) {
+		if !s.accepts(now) || room == noRoom || (crowded && e.Slots > 0 && loads[i] >= e.Slots) {
 			continue
 		}
 		c := t.cost(e, s, r, holders, loads[i], now)
--- a/request/placing/limit.go
+++ b/request/placing/limit.go
@@ -85,13 +85,6 @@
 	}
 }
 
-// RecordLimit records what an answer of an engine says about its limit.
-func (t *Table) RecordLimit(l Limit) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.setLimit(l)
-}
-
 // MergeLimits records limits that engines named to other instances.
 func (t *Table) MergeLimits(list []Limit) {
 	t.mu.Lock()
@@ -115,26 +108,6 @@
 	return list[:min(count, len(list))]
 }
 
-// UntilWithinLimit returns the time until an engine of a service that was not tried takes a request from this instance. It returns false if limits
-// are not what keeps them from it.
-func (t *Table) UntilWithinLimit(all *engines.List, r Request, now time.Time) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	shortest := time.Duration(math.MaxInt64)
-	limited := false
-	for _, e := range all.OfService(r.Service) {
-		s := t.engineState(e.Key)
-		if slices.Contains(r.Tried, e.ID) || t.roomAt(e.Key, s, now) != noRoom {
-			continue
-		}
-		limited = true
-		if b := s.limit.tolerated; b.perSecond > 0 {
-			shortest = min(shortest, time.Duration((1-b.tokens)/b.perSecond*float64(time.Second)))
-		}
-	}
-	return shortest, limited
-}
-
 // setLimit replaces the limit of an engine unless a later answer is known. Engines that never named one have no entry.
 func (t *Table) setLimit(l Limit) {
 	s := t.engineState(l.Engine)
--- a/request/placing/limit_test.go
+++ b/request/placing/limit_test.go
@@ -28,7 +28,7 @@
 	for i, t := range tables {
 		t.SetFleet(names[i], names)
 		for _, e := range list.OfService("s") {
-			t.RecordLimit(Limit{Engine: e.Key, Rate: limit, At: now})
+			t.MergeLimits([]Limit{{Engine: e.Key, Rate: limit, At: now}})
 		}
 	}
 	return tables, list
@@ -115,7 +115,7 @@
 			table.MergeLimits([]Limit{{Engine: k, Rate: 2, At: now.Add(time.Millisecond)}})
 		}, 0, false},
 		{"the engine names no limit any more", func(table *Table, k engines.Key) {
-			table.RecordLimit(Limit{Engine: k, At: now.Add(time.Millisecond)})
+			table.MergeLimits([]Limit{{Engine: k, At: now.Add(time.Millisecond)}})
 		}, 0, true},
 		{"another instance has learned that the limit has ended", func(table *Table, k engines.Key) {
 			table.MergeLimits([]Limit{{Engine: k, At: now.Add(time.Millisecond)}})
@@ -124,8 +124,8 @@
 			table.MergeLimits([]Limit{{Engine: k, At: now.Add(-time.Millisecond)}})
 		}, 0, false},
 		{"the limit ends and returns", func(table *Table, k engines.Key) {
-			table.RecordLimit(Limit{Engine: k, At: now.Add(time.Millisecond)})
-			table.RecordLimit(Limit{Engine: k, Rate: 2, At: now.Add(2 * time.Millisecond)})
+			table.MergeLimits([]Limit{{Engine: k, At: now.Add(time.Millisecond)}})
+			table.MergeLimits([]Limit{{Engine: k, Rate: 2, At: now.Add(2 * time.Millisecond)}})
 		}, 10 * time.Millisecond, false},
 		{"no answer confirms the limit", func(table *Table, k engines.Key) { table.engineState(k).limit.tolerated.tokens = -1000 }, limitTTL + time.Second, true},
 	}
@@ -140,7 +140,7 @@
 			if ok != tt.placed {
 				t.Fatalf("placed is %v", ok)
 			}
-			if wait, limited := tables[0].UntilWithinLimit(list, request, now.Add(tt.after)); !ok && (!limited || wait <= 0 || wait > 2*time.Second) {
+			if wait, limited := tables[0].UntilAccepted(list, request, now.Add(tt.after)); !ok && (!limited || wait <= 0 || wait > 2*time.Second) {
 				t.Errorf("limited is %v, for %s", limited, wait)
 			}
 		})
@@ -152,7 +152,7 @@
 	now := time.Unix(1000, 0)
 	tables, list := limitedFleet(1, 3, 1, now)
 	free := list.OfService("s")[2].Key
-	tables[0].RecordLimit(Limit{Engine: free, At: now.Add(time.Millisecond)})
+	tables[0].MergeLimits([]Limit{{Engine: free, At: now.Add(time.Millisecond)}})
 	for i := range 50 {
 		c, _, ok := tables[0].Choose(list, Request{Service: "s", Instances: 1}, now.Add(time.Millisecond))
 		if !ok {
@@ -182,7 +182,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			table := New(Policy{LoadBound: 1.5})
 			for _, e := range limited {
-				table.RecordLimit(Limit{Engine: engines.NewList([]engines.Engine{e}).OfService("s")[0].Key, Rate: 1, At: now})
+				table.MergeLimits([]Limit{{Engine: engines.NewList([]engines.Engine{e}).OfService("s")[0].Key, Rate: 1, At: now}})
 			}
 			placed := 0
 			for range 10 * slots {
@@ -194,7 +194,7 @@
 			if placed != tt.want {
 				t.Errorf("%d requests are placed at the engine without a limit, want %d", placed, tt.want)
 			}
-			if _, limited := table.UntilWithinLimit(tt.list, Request{Service: "s", Instances: 1}, now); limited != (tt.want == slots) {
+			if _, limited := table.UntilAccepted(tt.list, Request{Service: "s", Instances: 1}, now); limited != (tt.want == slots) {
 				t.Errorf("limited is %v", limited)
 			}
 		})
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -147,7 +147,7 @@
 				return false
 			}
 			a.placement.PrefillDone(now)
-			a.table.RecordReport(a.engine, Report{Running: loads[a.engine.ID]}, now)
+			a.table.RecordNotice(a.engine.Key, Notice{Load: &Report{Running: loads[a.engine.ID]}}, now)
 			return true
 		})
 		for len(surgeMessages) > 0 && !surgeMessages[0].at.After(now) {
--- /dev/null
+++ b/request/placing/notice.go
@@ -0,0 +1,86 @@
+package placing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+// leavingRetention is how long the state of an engine that is leaving is kept after its last answer, although it is no longer registered: its entry may
+// return while the engine still serves.
+const leavingRetention = 10 * time.Minute
+
+// Notice is what an answer of an engine says about the engine.
+type Notice struct {
+	// Load is the load of the engine, or nil if the answer does not tell.
+	Load *Report
+	// Limit is the number of requests a second that the engine takes from all instances together, and 0 if it has no limit. It is nil if the answer
+	// does not tell.
+	Limit *RequestRate
+	// Leaving says that the engine is about to stop and takes no new requests.
+	Leaving bool
+	// PausedFor is how long the engine takes no requests from this instance, or 0.
+	PausedFor time.Duration
+}
+
+// RecordNotice records what an answer of an engine says about the engine.
+func (t *Table) RecordNotice(k engines.Key, n Notice, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.engineState(k)
+	if n.Load != nil {
+		s.report, s.reportedAt = *n.Load, now
+		s.setLatestLoad(n.Load.Running+n.Load.Waiting, now)
+	}
+	if n.Limit != nil {
+		t.setLimit(Limit{Engine: k, Rate: *n.Limit, At: now})
+	}
+	if n.Leaving {
+		s.leavingAt = now
+	}
+	if until := now.Add(n.PausedFor); n.PausedFor > 0 && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// UntilAccepted returns the time until an engine of a service that was not tried accepts a request from this instance. It returns false if neither
+// limits nor pauses are what keeps them from it.
+func (t *Table) UntilAccepted(all *engines.List, r Request, now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	shortest := time.Duration(math.MaxInt64)
+	waits := false
+	for _, e := range all.OfService(r.Service) {
+		s := t.engineState(e.Key)
+		if slices.Contains(r.Tried, e.ID) || s.isLeaving() {
+			continue
+		}
+		paused := max(s.pausedUntil.Sub(now), 0)
+		limited := t.roomAt(e.Key, s, now) == noRoom
+		if paused == 0 && !limited {
+			continue
+		}
+		waits = true
+		switch b := s.limit.tolerated; {
+		case !limited:
+			shortest = min(shortest, paused)
+		case b.perSecond > 0:
+			shortest = min(shortest, max(paused, time.Duration((1-b.tokens)/b.perSecond*float64(time.Second))))
+		}
+	}
+	return shortest, waits
+}
+
+// accepts reports whether the engine, by its own answers, takes requests from this instance, limits aside.
+func (s *engineState) accepts(now time.Time) bool {
+	return !s.isLeaving() && !now.Before(s.pausedUntil)
+}
+
+func (s *engineState) isLeaving() bool { return !s.leavingAt.IsZero() }
+
+// mustOutliveEntry reports whether the engine has said something that still holds when its entry returns.
+func (s *engineState) mustOutliveEntry(now time.Time) bool {
+	return now.Before(s.pausedUntil) || now.Sub(s.leavingAt) < leavingRetention
+}
--- /dev/null
+++ b/request/placing/notice_test.go
@@ -0,0 +1,68 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+// TestEnginesThatTakeNoRequestsAreNotChosen guards against requests at engines that have said that they are leaving or want none for a time, and
+// against avoiding them for longer.
+func TestEnginesThatTakeNoRequestsAreNotChosen(t *testing.T) {
+	const paused = 2 * time.Second
+	tests := []struct {
+		name    string
+		notices []Notice
+		// unregistered is how long the engine is then missing from the list.
+		unregistered time.Duration
+		after        time.Duration
+		chosen       bool
+		// wait is the time until the engine accepts a request, or 0 if it does not say.
+		wait time.Duration
+	}{
+		{"no notice", []Notice{{}}, 0, 0, true, 0},
+		{"paused", []Notice{{PausedFor: paused}}, 0, paused / 2, false, paused / 2},
+		{"an answer without a pause meanwhile", []Notice{{PausedFor: paused}, {}}, 0, paused / 2, false, paused / 2},
+		{"a shorter pause meanwhile", []Notice{{PausedFor: paused}, {PausedFor: time.Second}}, 0, 3 * paused / 4, false, paused / 4},
+		{"the pause has ended", []Notice{{PausedFor: paused}}, 0, paused, true, 0},
+		{"paused and missing for a time", []Notice{{PausedFor: paused}}, paused / 2, paused / 2, false, paused / 2},
+		{"leaving", []Notice{{Leaving: true}}, 0, time.Minute, false, 0},
+		{"an answer that does not say so any more", []Notice{{Leaving: true}, {}}, 0, time.Minute, false, 0},
+		{"leaving and missing for a time", []Notice{{Leaving: true}}, time.Minute, time.Minute, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table, all := New(Policy{LoadBound: 1.5}), engines.NewList(list(desk, 1))
+			request := Request{Service: desk, Instances: 1}
+			for _, n := range tt.notices {
+				table.RecordNotice(all.OfService(desk)[0].Key, n, start)
+			}
+			now := start.Add(tt.after)
+			if tt.unregistered > 0 {
+				table.Prune(func(engines.Key) bool { return false }, start.Add(tt.unregistered))
+			}
+			if _, _, ok := table.Choose(all, request, now); ok != tt.chosen {
+				t.Errorf("chosen is %t", ok)
+			}
+			if wait, waits := table.UntilAccepted(all, request, now); waits != (tt.wait > 0) || (waits && wait != tt.wait) {
+				t.Errorf("waits for %s, %t", wait, waits)
+			}
+		})
+	}
+}
+
+// TestOthersAreChosenWhileAnEngineTakesNone guards against refusing requests, or exceeding the bound, while other engines have room.
+func TestOthersAreChosenWhileAnEngineTakesNone(t *testing.T) {
+	table, all := New(Policy{LoadBound: 1.5}), engines.NewList(list(llm, 3))
+	first := all.OfService(llm)[0]
+	table.RecordNotice(first.Key, Notice{PausedFor: time.Second}, start)
+	for i := range 30 {
+		if c, _ := choose(t, table, all, Request{Service: llm, Parts: prompt("a", "b"), Instances: 1}, start); c.Engine.Key == first.Key {
+			t.Fatalf("request %d goes to the engine that takes none", i)
+		}
+	}
+	if c, _ := choose(t, table, all, Request{Service: llm, Parts: prompt("a", "b"), Instances: 1}, start.Add(time.Second)); c.Engine.Key != first.Key {
+		t.Errorf("after the pause the idle engine is not chosen, but one with load %d", c.EngineLoad)
+	}
+}
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -122,6 +122,9 @@
 		backoffLocal bool
 		answeredAt   time.Time
 		limit        engineLimit
+		// leavingAt is when the engine last said that it is leaving, or zero, and pausedUntil the time until which it takes no requests from this
+		// instance.
+		leavingAt, pausedUntil time.Time
 	}
 
 	// partState is what a table knows about a part of prompts.
@@ -232,15 +235,6 @@
 	return list[max(len(list)-limit, 0):]
 }
 
-// RecordReport records the load that an engine reported with an answer.
-func (t *Table) RecordReport(e engines.Engine, r Report, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.engineState(e.Key)
-	s.report, s.reportedAt = r, now
-	s.setLatestLoad(r.Running+r.Waiting, now)
-}
-
 // MergeReportedLoads merges loads that engines reported to other instances.
 func (t *Table) MergeReportedLoads(list []Load) {
 	t.mu.Lock()
@@ -319,13 +313,13 @@
 	s.answeredAt = now
 }
 
-// Prune removes the state of engines that are not known and run no request of this instance, and the counts of other instances after
+// Prune removes the state of engines that are not known, run no request of this instance and have said nothing that still holds, and the counts of other instances after
 // remoteLoadTTL.
 func (t *Table) Prune(known func(engines.Key) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, s := range t.engines {
-		if !known(k) && s.running == 0 {
+		if !known(k) && s.running == 0 && !s.mustOutliveEntry(now) {
 			delete(t.engines, k)
 		}
 	}
