fix(forward): a request that engines crash on is refused as not run

It was answered 502 although no engine had run it, so that callers of non-idempotent requests could not know. Requests with a part that crashes engines already got 503 with a long Retry-After. The test demands 503 for each request that was not sent, and 502 for the first one, which was.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -79,9 +79,8 @@
 		tried    []ident.Engine
 		// snapshot is the snapshot on which the current attempt is based.
 		snapshot Snapshot
-		// suspected says that the request is refused because it is suspected of crashing too many engines, and culprit that it is because
-		// one of its parts is.
-		suspected, culprit bool
+		// crashesEngines says that the request is refused because engines crash on it or on a part of its prompt.
+		crashesEngines bool
 		// answeringSince is when the first event of the current attempt arrived, or zero.
 		answeringSince time.Time
 		// acceptedIn is the time until an engine accepts the request, if limits or pauses that engines name are why it is refused.
@@ -125,12 +124,12 @@
 			break
 		}
 		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
-			x.culprit, x.verdict = true, "engines crash on a part of the prompt"
+			x.crashesEngines, x.verdict = true, "engines crash on a part of the prompt"
 			x.Metrics.Add("culpritsRefused", 1)
 			break
 		}
 		if x.Crashes.Requests.Refuses([]suspects.ID{x.subjects.Request}, now) {
-			x.suspected, x.verdict = true, "the request crashed as many engines as it may"
+			x.crashesEngines, x.verdict = true, "the request crashed as many engines as it may"
 			x.Metrics.Add("suspectsRefused", 1)
 			break
 		}
@@ -363,9 +362,9 @@
 	}
 	refused := refusal{status: http.StatusBadGateway, reason: x.verdict}
 	switch {
-	case x.runs == 0 && x.culprit:
+	case x.runs == 0 && x.crashesEngines:
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterCulprit
-	case x.runs == 0 && !x.suspected:
+	case x.runs == 0:
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterOverload
 		if x.acceptedIn > 0 {
 			refused.retryAfter = min(max(x.acceptedIn, retryAfterOtherInstance), retryAfterLimit)
