fix(forward): an engine's error does not get into a stream that has begun

Cause: after a stream had broken off, any answer below 500 of the next engine was written into the caller's stream, which then ended as if it were complete. An answer 2xx without events, such as 204, ended it as complete too.

An answer now goes on with a stream only if it has the status of the first one and either the type text/event-stream or a first event with an id. Otherwise the attempt has failed: another engine may resume, or the caller's connection is aborted.

Ruled out: 5xx, refusals, answers without a seal and bytes that are no answer were aborted before.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -206,6 +206,9 @@
 		return resultNotRun
 	}
 	x.runs++
+	if x.stream != nil && resp.Status != x.stream.status {
+		return x.failStream(errors.Errorf("the engine answered with status %d instead of going on", resp.Status), e)
+	}
 	if resp.Status >= 200 && resp.Status < 300 && x.route.Kind == routing.Stream {
 		return x.relayStream(ctx, resp, e, inFlight, timer)
 	}
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,11 +21,15 @@
 	stallTimeoutFactor = 2.5
 	eventBufferBytes   = 1 << 10
 	maxEventBytes      = 256 << 10
+	streamMediaType    = "text/event-stream"
 )
 
 // stream is the state of a streamed answer of which the caller has received a part.
 type stream struct {
 	control *http.ResponseController
+	// status and mediaType are those of the answer that began the stream.
+	status    int
+	mediaType string
 	// last is the id of the last event sent to the caller.
 	last string
 }
@@ -43,6 +48,20 @@
 	return err != nil || lastErr != nil || next > last
 }
 
+// isContinuedBy reports whether an answer with that first event, nil if it has none, can be a later part of the stream. Any other answer, such
+// as an engine's error, must not get into it. If the engine does not name the type of a stream, the event must have an id.
+func (s *stream) isContinuedBy(resp *upstream.Response, firstEvent []byte) bool {
+	mediaType := mediaTypeOf(resp)
+	_, named := eventID(firstEvent)
+	return mediaType == streamMediaType || named || (len(firstEvent) == 0 && mediaType == s.mediaType)
+}
+
+// mediaTypeOf returns the type of an answer's body in lower case, without parameters.
+func mediaTypeOf(resp *upstream.Response) string {
+	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // relayStream relays events as they arrive. If the stream breaks off, only complete events have been sent, so that another engine can
 // resume after the last one.
 func (x *exchange) relayStream(ctx context.Context, resp *upstream.Response, e engines.Engine, inFlight *placing.Placement, timer *time.Timer) result {
@@ -55,9 +74,12 @@
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
-			mayEnd := !x.answeringSince.IsZero() || (resp.Framed && x.stream != nil)
+			mayEnd := !x.answeringSince.IsZero() || (resp.Framed && x.stream != nil && x.stream.isContinuedBy(resp, nil))
 			return x.finishStream(ctx, resp, err, len(event), mayEnd, e)
 		}
+		if x.stream != nil && x.answeringSince.IsZero() && !x.stream.isContinuedBy(resp, event) {
+			return x.failStream(errors.New("the engine's answer is no stream"), e)
+		}
 		if x.answeringSince.IsZero() {
 			now := time.Now()
 			x.answeringSince = now
@@ -111,7 +133,7 @@
 
 func (x *exchange) sendEvent(resp *upstream.Response, event []byte) error {
 	if x.stream == nil {
-		x.stream = &stream{control: http.NewResponseController(x.w)}
+		x.stream = &stream{control: http.NewResponseController(x.w), status: resp.Status, mediaType: mediaTypeOf(resp)}
 		copyAnswerHeader(x.w.Header(), resp.Header)
 		x.w.WriteHeader(resp.Status)
 	}
