fix(forward): a stream whose events have no ids is not begun again

Without an id, the next engine starts from the beginning, and the caller gets the first pieces twice. Before: TestStreamWithoutIDsIsNotBegunAgain got the piece twice, as a complete stream, after 2 runs. After: the connection is aborted after 1.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -170,6 +170,8 @@
 		x.verdict = "it may have run and may not run again"
 	case x.runs >= x.route.MaxEngines && x.runs > 0:
 		x.verdict = "as many engines as the route allows have had it"
+	case x.stream != nil && x.stream.last == "":
+		x.verdict = "the events of the stream have no ids"
 	case !x.retryReserved.Swap(false) && !x.Budget.Take(x.service, x.snapshot.Instances, now):
 		x.verdict = "no budget for a repeat"
 		x.Metrics.Add("retriesOverBudget", 1)
--- a/connection/forward/stream_error_test.go
+++ b/connection/forward/stream_error_test.go
@@ -160,3 +160,21 @@
 	defer func(c net.Conn) { _ = c.Close() }(conn)
 	_, _ = io.WriteString(conn, answer)
 }
+
+// TestStreamWithoutIDsIsNotBegunAgain guards against the same pieces coming twice: an engine can only resume after an event with an id.
+func TestStreamWithoutIDsIsNotBegunAgain(t *testing.T) {
+	const piece = "data: e\n\n"
+	route := routing.Route{Kind: routing.Stream, Resumable: true, MaxEngines: 2, TargetFirstByte: time.Second, TargetEventGap: 500 * time.Millisecond}
+	f := newFixture(t, route, func(n int, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeSealed(w, piece)
+		if n == 1 {
+			_ = http.NewResponseController(w).Flush()
+			abortConnection()
+		}
+	})
+	_, body, err := f.send(t, nil)
+	if err == nil || body != piece || f.runs.Load() != 1 {
+		t.Fatalf("complete %t: %q after %d runs", err == nil, body, f.runs.Load())
+	}
+}
