fix(upstream): an answer without an id is not believed on a connection used before

Cause: an answer without a request id and without a seal was taken for the one to the request on any connection. If an engine repeats an earlier refusal without its id on a kept connection, the caller is told 503 while its request runs, and an idempotent one goes to a second engine at once.

Such an answer counts as a lost one now (502, which promises nothing). On a new connection it is believed as before. Requests without an id get a new connection each.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -266,11 +266,15 @@
 	if !x.route.Retryable() {
 		maxIdle = maxReuseIdleNonIdempotent
 	}
+	if x.id == "" {
+		// Only a new connection tells its answer from an earlier one.
+		maxIdle = 0
+	}
 	return upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, MaxIdle: maxIdle,
-		Matches: func(h http.Header) bool {
-			id := h.Get(x.Names.RequestID)
-			return id == string(x.id) || (id == "" && h.Get(x.Names.ResponseSeal) == "")
+		Matches: func(h http.Header) bool { return x.id != "" && h.Get(x.Names.RequestID) == string(x.id) },
+		Unnamed: func(h http.Header) bool {
+			return h.Get(x.Names.RequestID) == "" && (x.id == "" || h.Get(x.Names.ResponseSeal) == "")
 		},
 	}
 }
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -32,8 +32,11 @@
 		Host   string
 		Header http.Header
 		Body   []byte
-		// Matches reports whether the answer with the given header belongs to this request.
+		// Matches reports whether the answer with the given header names this request.
 		Matches func(http.Header) bool
+		// Unnamed reports whether an answer that names no request may be the one to this request; nil means that none may. On a connection
+		// that was used before, such an answer may repeat an earlier one, while this request runs: the answer to this request is then lost.
+		Unnamed func(http.Header) bool
 		// MaxIdle is the longest idle time of a pooled connection that may be used. With 0 a new connection is made.
 		MaxIdle time.Duration
 	}
@@ -84,7 +87,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	//nolint:bodyclose // The body type closes the connection.
-	resp, written, err := conn.roundTrip(r.Method, r.encode(), r.Matches)
+	resp, written, err := conn.roundTrip(&r)
 	if err != nil {
 		stop()
 		_ = conn.Close()
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -45,7 +45,7 @@
 	reader *bufio.Reader
 	// bound limits the bytes that reader takes from the connection.
 	bound *sizelimit.Reader
-	// lastUsed is the time at which the last answer ended.
+	// lastUsed is the time at which the last answer ended, or zero if there was none.
 	lastUsed time.Time
 	// maxIdle is the idle time-out of the connection.
 	maxIdle time.Duration
@@ -111,7 +111,8 @@
 
 // roundTrip writes the request and reads answers until one matches it. It skips interim answers and answers to other requests, within
 // bounds. The channel receives the result of writing the request.
-func (c *conn) roundTrip(method string, raw []byte, matches func(http.Header) bool) (*http.Response, <-chan error, error) {
+func (c *conn) roundTrip(r *Request) (*http.Response, <-chan error, error) {
+	raw := r.encode()
 	written := make(chan error, 1)
 	if len(raw) <= inlineWriteBytes {
 		_, err := c.Write(raw)
@@ -127,14 +128,18 @@
 	}
 	for range maxSkippedAnswers {
 		c.bound.Allow(sizelimit.MaxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read answer")
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if matches(resp.Header) {
+		unnamed := r.Unnamed != nil && r.Unnamed(resp.Header)
+		if unnamed && !c.lastUsed.IsZero() {
+			return nil, nil, errors.New("an answer that names no request, on a connection that was used before")
+		}
+		if unnamed || r.Matches(resp.Header) {
 			c.readKeepAlive(resp.Header)
 			c.bound.Allow(math.MaxInt64)
 			return resp, written, nil
