fix(upstream): a request is not sent over a connection that has brought its failure

Cause: the pool keeps the connection of a refusal. If the same id came again over it (a caller that repeats it, or an engine registered under two ids, since only ids are excluded) and the engine repeated the refusal, this was taken for the answer: 503 while the request runs.

A connection now keeps the hashed ids of its last failures, and is closed after 64 of them, so that refusals do not cost a connection each.

Ruled out by tests that passed before: interim answers, and an answer before the body has been read.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -271,7 +271,7 @@
 		maxIdle = 0
 	}
 	return upstream.Request{
-		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, MaxIdle: maxIdle,
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, MaxIdle: maxIdle, ID: string(x.id),
 		Matches: func(h http.Header) bool { return x.id != "" && h.Get(x.Names.RequestID) == string(x.id) },
 		Unnamed: func(h http.Header) bool {
 			return h.Get(x.Names.RequestID) == "" && (x.id == "" || h.Get(x.Names.ResponseSeal) == "")
--- a/connection/forward/stale_refusal_test.go
+++ b/connection/forward/stale_refusal_test.go
@@ -84,25 +84,33 @@
 func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
 	sealed := testNames.ResponseSeal + ": seal\r\n"
 	notRun := testNames.NotRun + ": 1\r\n"
-	refusals := []struct{ status, lines string }{
-		{"503 Service Unavailable", notRun},
-		{"429 Too Many Requests", notRun},
-		{"408 Request Timeout", notRun},
-		{"400 Bad Request", notRun},
-		{"421 Misdirected Request", ""},
-		{"404 Not Found", ""},
+	refusals := []struct {
+		status, lines string
+		// retried says that another engine gets the request.
+		retried bool
+	}{
+		{"503 Service Unavailable", notRun, true},
+		{"429 Too Many Requests", notRun, true},
+		{"408 Request Timeout", notRun, true},
+		{"400 Bad Request", notRun, true},
+		{"421 Misdirected Request", "", true},
+		{"404 Not Found", "", false},
 	}
 	cases := []struct {
 		name string
 		// first and second are the ids of the requests, and named says that the repeated refusal bears the first one.
 		first, second string
 		named         bool
+		// engines are the ids under which the one engine is registered.
+		engines []ident.Engine
 		// status is the caller's for the second request.
 		status int
 	}{
-		{"without id", "r1", "r2", false, 502},
-		{"of another id", "r1", "r2", true, 200},
-		{"to requests without id", "", "", false, 200},
+		{"without id", "r1", "r2", false, []ident.Engine{"e1"}, 502},
+		{"of another id", "r1", "r2", true, []ident.Engine{"e1"}, 200},
+		{"of the same id", "r1", "r1", true, []ident.Engine{"e1"}, 200},
+		{"of the same id, of an engine with two ids", "r1", "r1", true, []ident.Engine{"e1", "e2"}, 200},
+		{"to requests without id", "", "", false, []ident.Engine{"e1"}, 200},
 	}
 	for _, refusal := range refusals {
 		for _, tt := range cases {
@@ -124,7 +132,7 @@
 					return []string{rawAnswer(refusal.status, repeated, refusal.lines, "refused"), rawAnswer("200 OK", id, sealed, "ok")}
 				})
 				f := newFixture(t, routing.Route{Kind: routing.NonIdempotent}, nil)
-				f.useRaw(engine, "e1")
+				f.useRaw(engine, tt.engines...)
 				var status int
 				for i, id := range []string{tt.first, tt.second} {
 					resp, body, err := f.send(t, func(r *http.Request) {
@@ -140,11 +148,37 @@
 					if status == http.StatusOK && body != "ok" {
 						t.Fatalf("request %d got %q", i, body)
 					}
+					if i == 0 && len(tt.engines) > 1 {
+						break
+					}
 				}
-				if status != tt.status || runs.Load() > 1 {
-					t.Fatalf("status %d, want %d, after %d runs on %d connections", status, tt.status, runs.Load(), engine.conns.Load())
+				want := tt.status
+				if !refusal.retried && len(tt.engines) > 1 {
+					want = http.StatusNotFound
+				}
+				if status != want || runs.Load() > 1 {
+					t.Fatalf("status %d, want %d, after %d runs on %d connections", status, want, runs.Load(), engine.conns.Load())
 				}
 			})
 		}
 	}
 }
+
+// TestRefusalsDoNotCostConnections guards against a new connection for each request while an engine refuses.
+func TestRefusalsDoNotCostConnections(t *testing.T) {
+	const count = 60
+	engine := startRawEngine(t, func(_ int, id string) []string {
+		return []string{rawAnswer("503 Service Unavailable", id, testNames.NotRun+": 1\r\n", "refused")}
+	})
+	f := newFixture(t, routing.Route{Kind: routing.NonIdempotent}, nil)
+	f.useRaw(engine, "e1")
+	for i := range count {
+		resp, _, err := f.send(t, func(r *http.Request) { r.Header.Set(testNames.RequestID, fmt.Sprint("r", i)) })
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("got %v, %v", resp, err)
+		}
+	}
+	if n := engine.conns.Load(); n != 1 {
+		t.Fatalf("%d connections for %d refusals", n, count)
+	}
+}
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	probeTimeout = 30 * time.Millisecond
 	// maxIdlePerEngine bounds the idle connections in the pool per engine.
 	maxIdlePerEngine = 8
+	// maxFailed bounds the failures whose ids a connection keeps. It is closed after that.
+	maxFailed = 64
 	// DialTimeout is several times what a healthy engine in another region takes to accept a connection. It does not allow for the
 	// retransmission of a lost packet.
 	DialTimeout = 200 * time.Millisecond
@@ -32,6 +35,8 @@
 		Host   string
 		Header http.Header
 		Body   []byte
+		// ID is the id that the request bears. It is not sent over a connection that has brought a failure of a request with that id.
+		ID string
 		// Matches reports whether the answer with the given header names this request.
 		Matches func(http.Header) bool
 		// Unnamed reports whether an answer that names no request may be the one to this request; nil means that none may. On a connection
@@ -78,7 +83,7 @@
 // Do sends the request and returns its answer once the header is read. It fails with *NotSentError or *LostError. Cancelling ctx closes
 // the connection, also while the body is read.
 func (c *Client) Do(ctx context.Context, address string, r Request, now time.Time) (*Response, error) {
-	conn := c.takeIdle(address, r.MaxIdle, now)
+	conn := c.takeIdle(address, r.ID, r.MaxIdle, now)
 	if conn == nil {
 		var err error
 		if conn, err = dial(ctx, address, DialTimeout); err != nil {
@@ -93,6 +98,9 @@
 		_ = conn.Close()
 		return nil, &LostError{Cause: err}
 	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		conn.failed = append(conn.failed, hashOf(r.ID))
+	}
 	b := &body{Reader: resp.Body, client: c, conn: conn, address: address, resp: resp, written: written, stop: stop}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framed: isFramed(resp)}, nil
 }
@@ -127,13 +135,18 @@
 	}
 }
 
-func (c *Client) takeIdle(address string, maxIdle time.Duration, now time.Time) *conn {
+func (c *Client) takeIdle(address, id string, maxIdle time.Duration, now time.Time) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for maxIdle > 0 && len(c.idle[address]) > 0 {
-		list := c.idle[address]
-		conn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
+	if maxIdle <= 0 {
+		return nil
+	}
+	for i := len(c.idle[address]) - 1; i >= 0; i-- {
+		conn := c.idle[address][i]
+		if conn.hasFailed(id) {
+			continue
+		}
+		c.idle[address] = slices.Delete(c.idle[address], i, i+1)
 		if conn.reusable(now, maxIdle) {
 			return conn
 		}
@@ -163,7 +176,7 @@
 }
 
 // Close returns the connection to the pool if the request was written and the answer read completely. It closes the connection otherwise,
-// and also if the engine asked for that or has sent further bytes.
+// and also if the engine asked for that or has sent further bytes, or after maxFailed failures.
 func (b *body) Close() error {
 	notCancelled := b.stop()
 	sent := false
@@ -172,7 +185,7 @@
 		sent = err == nil
 	default:
 	}
-	if b.complete && notCancelled && sent && !b.resp.Close && b.conn.reader.Buffered() == 0 {
+	if b.complete && notCancelled && sent && !b.resp.Close && b.conn.reader.Buffered() == 0 && len(b.conn.failed) < maxFailed {
 		b.client.putIdle(b.address, b.conn, time.Now())
 		return nil
 	}
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -7,12 +7,14 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"golang.org/x/sys/unix"
@@ -49,6 +51,9 @@
 	lastUsed time.Time
 	// maxIdle is the idle time-out of the connection.
 	maxIdle time.Duration
+	// failed holds the hashed ids of the requests whose answers were no successes. The engine may repeat such an answer later, when it would be
+	// taken for that of a request with the same id.
+	failed []uint64
 
 	closeOnce sync.Once
 }
@@ -85,6 +90,11 @@
 	return err
 }
 
+// hasFailed reports whether the connection has brought a failure of a request with that id.
+func (c *conn) hasFailed(id string) bool { return slices.Contains(c.failed, hashOf(id)) }
+
+func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
+
 // reusable reports whether an idle connection may be used again: its idle time is within both limits, and the engine has neither closed
 // it nor sent any bytes.
 func (c *conn) reusable(now time.Time, maxIdle time.Duration) bool {
