fix(entry): an entry of an instance without an address is no member

Cause: whatever an entry under the instances' prefix held was taken for a peer address. For 24 s such a member took heartbeats and announcements that could not be sent, a share of the limits that engines name, and made a restarting fleet wait for it.

Ruled out by TestOddEntriesDoNotDisturbTheFleet, which passed before: odd entries of engines, instances, culprits and others, values of 1 MB, deep ones and ones that are not UTF-8 among them, end no instance, do not keep it from following the store or starting, and pass between instances unharmed.

--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -5,10 +5,12 @@
 	"maps"
 	"math"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/ident"
@@ -51,8 +53,10 @@
 			enginesChanged = true
 		case strings.HasPrefix(e.Key, n.platform.Keys.Culprits):
 			n.applyCulprit(e)
-		case strings.HasPrefix(e.Key, n.platform.Keys.Instances) && !e.Deleted && string(e.Value) != n.self:
-			n.members.Add(string(e.Value), boottime.Now())
+		case strings.HasPrefix(e.Key, n.platform.Keys.Instances) && !e.Deleted:
+			if peer, ok := n.peerIn(e); ok {
+				n.members.Add(peer, boottime.Now())
+			}
 		}
 	}
 	if enginesChanged {
@@ -112,6 +116,17 @@
 	n.decodedEngines[entry.Key] = e
 }
 
+// peerIn returns the peer address in the entry of another instance, and false if it is this instance's own or no instance can have it.
+func (n *Instance) peerIn(entry mirror.Entry) (string, bool) {
+	peer := string(entry.Value)
+	at, err := netip.ParseAddrPort(peer)
+	if err != nil || at.Port() == 0 || at.Addr().Zone() != "" || at.Addr().IsUnspecified() || at.Addr().IsMulticast() {
+		n.logInvalidEntry(entry, errors.New("the value is no address of an instance"))
+		return "", false
+	}
+	return peer, peer != n.self
+}
+
 // logInvalidEntry logs an invalid entry; since each revision is applied once, it is logged once.
 func (n *Instance) logInvalidEntry(entry mirror.Entry, err error) {
 	n.log.Warn("invalid entry in the store", zap.String("key", entry.Key), zap.Int64("revision", int64(entry.Revision)), zap.Error(err))
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -204,7 +204,7 @@
 		}
 		for _, e := range page.Entries {
 			after = e.Key
-			if peer := string(e.Value); peer != n.self {
+			if peer, ok := n.peerIn(e); ok {
 				peers = append(peers, peer)
 				n.members.Add(peer, now)
 			}
