fix(suspects): late messages acquit no culprit, and sound requests beside one are not refused

Found by a review of the new evidence, with tests that failed before: - Messages carry ages, so an answer seemed later with each message, until it came after the crashes and acquitted the culprit at all instances (TestLateMessagesAcquitNoCulprit, transit of 60 ms or more). Times of different instances are no longer compared: an answer precedes or follows the crashes that its instance knows. - Sound requests that were at the same two engines as the guilty one were refused with it, for good, since no third crash could tell them apart.

--- a/request/suspects/crashes.go
+++ b/request/suspects/crashes.go
@@ -1,6 +1,7 @@
 package suspects
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,8 +11,12 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
-// crashWindow is the longest time between a lost answer and the end of its engine for which the request is suspected.
-const crashWindow = time.Second
+const (
+	// crashWindow is the longest time between a lost answer and the end of its engine for which the request is suspected.
+	crashWindow = time.Second
+	// endSpan is how long heartbeats repeat the end of an engine, which matters for crashWindow only.
+	endSpan = 2 * time.Second
+)
 
 type (
 	// Subjects are what the evidence on a request is kept for.
@@ -71,7 +76,12 @@
 func (c *Crashes) RecordLost(e engines.Key, s Subjects, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost[e] = append(c.recentLost(e, now), lostAnswer{subjects: s, at: now})
+	l := lostAnswer{subjects: s, at: now}
+	if endedAt, ended := c.ended[e]; ended && now.Sub(endedAt) < crashWindow {
+		c.suspect(e, l, now)
+		return
+	}
+	c.lost[e] = append(c.recentLost(e, now), l)
 }
 
 // RecordEnd records that the process of an engine was found to have ended, by this instance or another. The requests whose answers it lost within the
@@ -87,13 +97,17 @@
 	recent := c.recentLost(end.Engine, end.At)
 	delete(c.lost, end.Engine)
 	for _, l := range recent {
-		crash := Crash{Engine: end.Engine, At: l.at}
-		c.Requests.RecordCrash([]ID{l.subjects.Request}, crash, now)
-		c.Parts.RecordCrash(l.subjects.Parts, crash, now)
+		c.suspect(end.Engine, l, now)
 	}
 	return len(recent)
 }
 
+func (c *Crashes) suspect(e engines.Key, l lostAnswer, now time.Time) {
+	crash := Crash{Engine: e, At: l.at}
+	c.Requests.RecordCrash([]ID{l.subjects.Request}, crash, now)
+	c.Parts.RecordCrash(l.subjects.Parts, crash, now)
+}
+
 // RecordAnswer records that an engine has completed an answer to a request without a crash, and to its parts if complete is set: a refusal of the
 // engine need not have read them.
 func (c *Crashes) RecordAnswer(s Subjects, complete bool, now time.Time) {
@@ -115,6 +129,20 @@
 	return ends
 }
 
+// RecentEnds returns up to limit of the ends that became known within endSpan, at random.
+func (c *Crashes) RecentEnds(limit int, now time.Time) []EngineEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ends []EngineEnd
+	for e, at := range c.ended {
+		if now.Sub(at) < endSpan {
+			ends = append(ends, EngineEnd{Engine: e, At: at})
+		}
+	}
+	rand.Shuffle(len(ends), func(i, j int) { ends[i], ends[j] = ends[j], ends[i] })
+	return ends[:min(limit, len(ends))]
+}
+
 // Sweep removes the evidence after Retention, and lost answers and ends when they no longer matter.
 func (c *Crashes) Sweep(now time.Time) {
 	c.Requests.Sweep(now)
--- a/request/suspects/crashes_test.go
+++ b/request/suspects/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -43,22 +44,33 @@
 		// ended is the engine that is found to have ended, foundAfter how long after the loss, and toldLate how much later this instance is told.
 		ended                engines.Key
 		foundAfter, toldLate time.Duration
-		want                 int
+		// endFirst says that the end is recorded before the loss.
+		endFirst bool
+		want     int
 	}{
-		{"at once", engine, 0, 0, 1},
-		{"within the window", engine, crashWindow - time.Millisecond, 0, 1},
-		{"found before the loss is noticed", engine, -10 * time.Millisecond, 0, 1},
-		{"another instance found it", engine, 10 * time.Millisecond, 2 * crashWindow, 1},
-		{"too late", engine, crashWindow, 0, 0},
-		{"another engine", other, 0, 0, 0},
+		{"at once", engine, 0, 0, false, 1},
+		{"within the window", engine, crashWindow - time.Millisecond, 0, false, 1},
+		{"found before the loss is noticed", engine, -10 * time.Millisecond, 0, false, 1},
+		{"known before the loss is noticed", engine, -10 * time.Millisecond, 0, true, 1},
+		{"known long before the loss", engine, -crashWindow, 0, true, 0},
+		{"another instance found it", engine, 10 * time.Millisecond, 2 * crashWindow, false, 1},
+		{"too late", engine, crashWindow, 0, false, 0},
+		{"another engine", other, 0, 0, false, 0},
+		{"another engine, known before", other, 0, 0, true, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := NewCrashes()
-			c.RecordLost(engine, Subjects{Request: 7, Parts: []ID{8, 9}}, start)
 			found := start.Add(tt.foundAfter)
-			if n := c.RecordEnd(EngineEnd{Engine: tt.ended, At: found}, found.Add(tt.toldLate)); n != tt.want {
-				t.Errorf("%d requests are suspected", n)
+			steps := []func(){
+				func() { c.RecordLost(engine, Subjects{Request: 7, Parts: []ID{8, 9}}, start) },
+				func() { c.RecordEnd(EngineEnd{Engine: tt.ended, At: found}, found.Add(tt.toldLate)) },
+			}
+			if tt.endFirst {
+				slices.Reverse(steps)
+			}
+			for _, step := range steps {
+				step()
 			}
 			_, requests := c.Requests.TakeChanged()
 			_, parts := c.Parts.TakeChanged()
@@ -84,6 +96,10 @@
 			f.crash(guilty)
 		}, []bool{true, false}},
 		{"two crashes at once", func(f *fleet) { f.crashAtOnce(2, guilty) }, []bool{true, false}},
+		{"a sound request at the same two engines", func(f *fleet) {
+			f.crash(guilty, sound)
+			f.crash(guilty, sound)
+		}, []bool{false, false}},
 		{"a sound request at two of three crashed engines", func(f *fleet) {
 			f.crash(guilty, sound)
 			f.crash(guilty, sound)
@@ -119,6 +135,73 @@
 	}
 }
 
+// TestLateMessagesAcquitNoCulprit guards against an answer that seems to be later with each message until it acquits a culprit, and against messages
+// without end.
+func TestLateMessagesAcquitNoCulprit(t *testing.T) {
+	for _, transit := range []time.Duration{time.Millisecond, 60 * time.Millisecond, 2 * time.Second} {
+		t.Run(transit.String(), func(t *testing.T) {
+			from, to, now := NewTracker(RequestPolicy()), NewTracker(RequestPolicy()), time.Unix(1000, 0)
+			id := []ID{7}
+			from.RecordAnswer(id, now)
+			for e := range engines.Key(4) {
+				now = now.Add(400 * time.Millisecond)
+				from.RecordCrash(id, Crash{Engine: e + 1, At: now}, now)
+			}
+			messages := 0
+			for shared, _ := from.TakeChanged(); len(shared) > 0 && messages < 100; shared, _ = from.TakeChanged() {
+				messages++
+				// Messages carry ages.
+				for i := range shared {
+					shared[i].AnsweredAt = shared[i].AnsweredAt.Add(transit)
+					for j := range shared[i].Crashes {
+						shared[i].Crashes[j].At = shared[i].Crashes[j].At.Add(transit)
+					}
+				}
+				now = now.Add(transit)
+				to.Merge(shared, now)
+				from, to = to, from
+			}
+			if messages > 4 || !from.Refuses(id, now) || !to.Refuses(id, now) {
+				t.Errorf("after %d messages refused are %t and %t", messages, from.Refuses(id, now), to.Refuses(id, now))
+			}
+		})
+	}
+}
+
+// BenchmarkRefuses measures the check of a request that is not suspected after a crash has brought evidence on many others.
+func BenchmarkRefuses(b *testing.B) {
+	for _, subjects := range []int{200, 4000} {
+		b.Run(strconv.Itoa(subjects), func(b *testing.B) {
+			tracker, start := NewTracker(RequestPolicy()), time.Unix(1000, 0)
+			for i := range subjects {
+				for c := range 2 {
+					at := start.Add(time.Duration(c) * time.Second)
+					tracker.RecordCrash([]ID{ID(i + 1)}, Crash{Engine: engines.Key(1 + (i+c*7)%140), At: at}, at)
+				}
+			}
+			for b.Loop() {
+				tracker.outdated = true
+				tracker.Refuses([]ID{ID(subjects + 1)}, start)
+			}
+		})
+	}
+}
+
+// BenchmarkDetermine measures the check of a suspected one.
+func BenchmarkDetermine(b *testing.B) {
+	tracker, start := NewTracker(RequestPolicy()), time.Unix(1000, 0)
+	for i := range 1000 {
+		for c := range 2 {
+			at := start.Add(time.Duration(c) * time.Second)
+			tracker.RecordCrash([]ID{ID(i + 1)}, Crash{Engine: engines.Key(1 + (i+c*7)%140), At: at}, at)
+		}
+	}
+	for b.Loop() {
+		tracker.outdated = true
+		tracker.Refuses([]ID{1}, start)
+	}
+}
+
 // TestOnlyRefusedRequestsAreStored guards against an entry in the store for each request that was at two crashed engines and never comes again.
 func TestOnlyRefusedRequestsAreStored(t *testing.T) {
 	f := newFleetOf(2, RequestPolicy())
--- a/request/suspects/culprits.go
+++ b/request/suspects/culprits.go
@@ -1,6 +1,7 @@
 package suspects
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -13,8 +14,6 @@
 )
 
 const (
-	// answerPrecision is the difference up to which two times of an answer mean the same one.
-	answerPrecision = 50 * time.Millisecond
 	// maxIDsPerCulprit keeps the key of a culprit within what stores accept.
 	maxIDsPerCulprit = 8
 	// recentlyRefused is how long a culprit counts as requested after its last refusal.
@@ -46,9 +45,9 @@
 		knownAt, refusedAt time.Time
 	}
 
-	// candidate is a part with the crashes since its last answer.
+	// candidate is the subjects on which the same engines crashed since the last answer, and these crashes.
 	candidate struct {
-		id       ID
+		ids      []ID
 		crashes  []knownCrash
 		answered bool
 	}
@@ -79,17 +78,16 @@
 
 // Refuses reports whether a request with these subjects would crash its engine.
 func (t *Tracker) Refuses(ids []ID, now time.Time) bool {
-	if len(ids) == 0 {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.determine()
 	refused := false
-	for _, f := range t.found {
-		if !now.Before(f.refusedFrom) && f.ids.within(ids) {
-			t.markRefused(f.ids, now)
-			refused = true
+	if slices.ContainsFunc(ids, t.isCandidate) {
+		t.determine()
+		for _, f := range t.found {
+			if !now.Before(f.refusedFrom) && f.ids.within(ids) {
+				t.markRefused(f.ids, now)
+				refused = true
+			}
 		}
 	}
 	for name, s := range t.stored {
@@ -101,6 +99,13 @@
 	return refused
 }
 
+// isCandidate reports whether there is enough evidence against a subject if no culprit explains it. It is false for nearly all requests, which
+// makes them cheap to check.
+func (t *Tracker) isCandidate(id ID) bool {
+	s, ok := t.suspects.Peek(id)
+	return ok && t.isProven(s)
+}
+
 // SetStored records that the store holds a culprit.
 func (t *Tracker) SetStored(c Culprit, now time.Time) {
 	t.mu.Lock()
@@ -191,8 +196,7 @@
 	}
 }
 
-// isRefuted reports whether engines have answered all subjects of a stored culprit since, or the evidence of this instance explains its crashes
-// otherwise.
+// isRefuted reports whether engines have answered all subjects of a stored culprit since, or other culprits explain its crashes.
 func (t *Tracker) isRefuted(c storedCulprit) bool {
 	answered, explained := true, true
 	for _, id := range c.ids {
@@ -202,11 +206,15 @@
 			at = s.answeredAt
 		}
 		answered = answered && at.After(c.knownAt)
-		explained = explained && ok && t.isProven(s.candidate(id))
+		explained = explained && ok && t.isProven(s)
 	}
 	if explained {
 		t.determine()
 		explained = !slices.ContainsFunc(t.found, func(f foundCulprit) bool { return f.ids.within(c.ids) })
+		for _, id := range c.ids {
+			s, _ := t.suspects.Peek(id)
+			explained = explained && slices.ContainsFunc(s.sinceAnswer(), func(k knownCrash) bool { return t.explained[k.Engine] })
+		}
 	}
 	return answered || explained
 }
@@ -216,51 +224,92 @@
 	if !t.outdated {
 		return
 	}
-	t.outdated, t.found = false, nil
-	explained := make(map[engines.Key]bool)
+	t.outdated, t.found, t.explained = false, nil, make(map[engines.Key]bool)
+	considered := make(map[engines.Key]bool)
 	candidates := t.candidates()
 	for {
-		group, crashes := t.policy.worst(candidates, explained)
-		if len(group) == 0 {
+		best, crashes := t.policy.worst(candidates, considered)
+		if len(best.ids) == 0 {
 			return
 		}
-		knownAt, _ := t.policy.provenAt(group[0], crashes)
-		t.found = append(t.found, t.policy.culprits(group, knownAt.Add(t.policy.ObjectionTime))...)
 		for _, c := range crashes {
-			explained[c.Engine] = true
+			considered[c.Engine] = true
+		}
+		knownAt, proven := t.policy.proofAgainst(best).provenAt(crashes)
+		if !proven {
+			// Some of these subjects are sound. As long as the evidence does not tell which, the crashes do not make others culprits either.
+			continue
+		}
+		t.found = append(t.found, t.policy.culprits(best.ids, knownAt.Add(t.policy.ObjectionTime))...)
+		for _, c := range crashes {
+			t.explained[c.Engine] = true
 		}
 	}
 }
 
-// candidates returns the subjects on which enough engines have crashed since the last answer.
+// candidates returns the subjects on which enough engines have crashed since the last answer, by these engines.
 func (t *Tracker) candidates() []candidate {
 	var list []candidate
+	indices := make(map[string]int)
 	for _, id := range t.suspects.Keys() {
-		if s, ok := t.suspects.Peek(id); ok {
-			if c := s.candidate(id); t.isProven(c) {
-				list = append(list, c)
-			}
+		s, ok := t.suspects.Peek(id)
+		if !ok || !t.isProven(s) {
+			continue
 		}
+		c := s.candidate(id)
+		key := c.key()
+		i, known := indices[key]
+		if !known {
+			i = len(list)
+			indices[key] = i
+			list = append(list, c)
+			continue
+		}
+		list[i].ids = append(list[i].ids, id)
 	}
 	return list
 }
 
 func (s *state) candidate(id ID) candidate {
-	return candidate{id: id, crashes: s.sinceAnswer(), answered: !s.answeredAt.IsZero()}
+	return candidate{ids: []ID{id}, crashes: s.sinceAnswer(), answered: !s.answeredAt.IsZero()}
+}
+
+// key returns a text that is the same for subjects of one candidate.
+func (c candidate) key() string {
+	keys := make([]engines.Key, len(c.crashes))
+	for i, k := range c.crashes {
+		keys[i] = k.Engine
+	}
+	slices.Sort(keys)
+	return fmt.Sprint(c.answered, keys)
 }
 
 // isProven reports whether the crashes since the last answer are enough for a culprit, if no other one explains them.
-func (t *Tracker) isProven(c candidate) bool {
-	_, proven := t.policy.provenAt(c, c.crashes)
+func (t *Tracker) isProven(s *state) bool {
+	_, proven := t.policy.proof(!s.answeredAt.IsZero()).provenAt(s.sinceAnswer())
 	return proven
 }
 
-// culprits returns the culprits that follow from candidates with the same crashes.
-func (p Policy) culprits(group []candidate, refusedFrom time.Time) []foundCulprit {
-	ids := make([]ID, len(group))
-	for i, c := range group {
-		ids[i] = c.id
+// proof returns the proof that is needed against a subject, by whether engines have answered it before.
+func (p Policy) proof(answered bool) Proof {
+	if answered {
+		return p.Answered
 	}
+	return p.Unanswered
+}
+
+// proofAgainst returns the proof that is needed against all subjects of a candidate. One more crash tells most sound requests from a culprit that was at the
+// same engines.
+func (p Policy) proofAgainst(c candidate) Proof {
+	proof := p.proof(c.answered)
+	if len(c.ids) > 1 && !p.Joint {
+		proof.Crashes++
+	}
+	return proof
+}
+
+// culprits returns the culprits that follow from subjects with the same crashes.
+func (p Policy) culprits(ids []ID, refusedFrom time.Time) []foundCulprit {
 	each := 1
 	if p.Joint {
 		ids = ids[:min(len(ids), maxIDsPerCulprit)]
@@ -273,15 +322,14 @@
 	return list
 }
 
-// provenAt returns when this instance knew enough of the unexplained crashes for the candidate to be a culprit, or false.
-func (p Policy) provenAt(c candidate, crashes []knownCrash) (time.Time, bool) {
-	proof := p.Unanswered
-	if c.answered {
-		proof = p.Answered
+// provenAt returns when this instance knew enough of the crashes, or false.
+func (p Proof) provenAt(crashes []knownCrash) (time.Time, bool) {
+	if len(crashes) < p.Crashes {
+		return time.Time{}, false
 	}
 	crashes = slices.SortedFunc(slices.Values(crashes), func(a, b knownCrash) int { return a.knownAt.Compare(b.knownAt) })
-	for n := proof.Crashes; n <= len(crashes); n++ {
-		if countIncidents(crashes[:n]) >= proof.Incidents {
+	for n := p.Crashes; n <= len(crashes); n++ {
+		if countIncidents(crashes[:n]) >= p.Incidents {
 			return crashes[n-1].knownAt, true
 		}
 	}
@@ -300,28 +348,23 @@
 	return count
 }
 
-// worst returns the candidates with the most unexplained crashes, and these crashes. Subjects that no engine has answered come first. All
-// candidates that it returns have the same crashes.
-func (p Policy) worst(candidates []candidate, explained map[engines.Key]bool) ([]candidate, []knownCrash) {
-	var group []candidate
+// worst returns the subjects with the most unexplained crashes, all the same ones, and these crashes. Subjects that no engine has answered come
+// first.
+func (p Policy) worst(candidates []candidate, explained map[engines.Key]bool) (candidate, []knownCrash) {
+	var best candidate
 	var most []knownCrash
 	for _, c := range candidates {
-		var crashes []knownCrash
-		for _, k := range c.crashes {
-			if !explained[k.Engine] {
-				crashes = append(crashes, k)
-			}
-		}
-		_, proven := p.provenAt(c, crashes)
+		crashes := slices.DeleteFunc(slices.Clone(c.crashes), func(k knownCrash) bool { return explained[k.Engine] })
+		_, proven := p.proof(c.answered).provenAt(crashes)
 		switch {
 		case !proven:
-		case len(group) == 0 || (group[0].answered && !c.answered) || (group[0].answered == c.answered && len(crashes) > len(most)):
-			group, most = []candidate{c}, crashes
-		case group[0].answered == c.answered && sameEngines(crashes, most):
-			group = append(group, c)
+		case len(best.ids) == 0 || (best.answered && !c.answered) || (best.answered == c.answered && len(crashes) > len(most)):
+			best, most = candidate{ids: slices.Clone(c.ids), answered: c.answered}, crashes
+		case best.answered == c.answered && sameEngines(crashes, most):
+			best.ids = append(best.ids, c.ids...)
 		}
 	}
-	return group, most
+	return best, most
 }
 
 // sameEngines reports whether two lists hold crashes of the same engines.
--- a/request/suspects/tracker.go
+++ b/request/suspects/tracker.go
@@ -49,9 +49,11 @@
 		answered *simplelru.LRU[ID, time.Time]
 		unsent   []ID
 		changed  chan struct{}
-		// found are the culprits that follow from the evidence. They are determined again when outdated is set.
-		found    []foundCulprit
-		outdated bool
+		// found are the culprits that follow from the evidence, and explained the engines that they crashed. They are determined again when outdated
+		// is set.
+		found     []foundCulprit
+		explained map[engines.Key]bool
+		outdated  bool
 		// stored are the culprits in the platform's store, by their texts.
 		stored map[string]storedCulprit
 	}
@@ -116,30 +118,23 @@
 	}
 }
 
-// Merge adds the evidence that another instance has sent. It is sent on if it brings a subject closer to being a culprit, or farther from it.
+// Merge adds the evidence that another instance has sent. It is sent on if it brings a subject closer to being a culprit, or farther from it, and
+// answered if this instance knows of a later answer.
 func (t *Tracker) Merge(list []Evidence, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range list {
 		s := t.suspect(e.ID)
-		before, theirs := len(s.sinceAnswer()), 0
+		before := len(s.sinceAnswer())
 		added := false
 		for _, c := range e.Crashes {
 			added = s.add(c, now) || added
-			if c.At.After(e.AnsweredAt) {
-				theirs++
-			}
-		}
-		// Messages carry ages, so the times of one answer differ by their transmission.
-		difference := e.AnsweredAt.Sub(s.answeredAt)
-		differs := difference.Abs() > answerPrecision
-		if differs && difference > 0 {
-			s.answeredAt = e.AnsweredAt
 		}
-		if (differs && max(before, theirs) >= minSharedCrashes) || (added && len(s.sinceAnswer()) >= minSharedCrashes) {
+		answered := s.mergeAnswer(e)
+		if (answered && before >= minSharedCrashes) || (added && len(s.sinceAnswer()) >= minSharedCrashes) || s.refutes(e) {
 			t.markChanged(e.ID, s, now)
 		}
-		t.outdated = t.outdated || added || differs
+		t.outdated = t.outdated || added || answered
 	}
 }
 
@@ -164,6 +159,16 @@
 	return shared, first
 }
 
+// PutBack makes TakeChanged return the evidence on these subjects again.
+func (t *Tracker) PutBack(list []Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range list {
+		t.unsent = append(t.unsent, e.ID)
+	}
+	notify(t.changed)
+}
+
 // Sweep removes the evidence on subjects after Retention.
 func (t *Tracker) Sweep(now time.Time) {
 	t.mu.Lock()
@@ -202,6 +207,49 @@
 	}
 }
 
+// mergeAnswer adopts the answer in the evidence of another instance if it came after crashes that count as unanswered here, or if none is known here.
+// It reports whether it did. Times of different instances are not compared, since messages carry ages and take time: an answer is placed after the
+// crashes that its instance knows to precede it.
+func (s *state) mergeAnswer(e Evidence) bool {
+	if e.AnsweredAt.IsZero() {
+		return false
+	}
+	at := s.answeredAt
+	for _, c := range s.crashes {
+		if theirs, known := e.crash(c.Engine); known && !theirs.At.After(e.AnsweredAt) && c.At.After(at) {
+			at = c.At
+		}
+	}
+	if at.IsZero() {
+		at = e.AnsweredAt
+		for _, c := range s.crashes {
+			if theirs, known := e.crash(c.Engine); known && theirs.At.After(e.AnsweredAt) && !c.At.After(at) {
+				at = c.At.Add(-1)
+			}
+		}
+	}
+	changed := !at.Equal(s.answeredAt)
+	s.answeredAt = at
+	return changed
+}
+
+// refutes reports whether an answer that is known here came after crashes that the evidence of another instance takes for unanswered.
+func (s *state) refutes(e Evidence) bool {
+	return slices.ContainsFunc(s.crashes, func(c knownCrash) bool {
+		theirs, known := e.crash(c.Engine)
+		return known && theirs.At.After(e.AnsweredAt) && !c.At.After(s.answeredAt)
+	})
+}
+
+// crash returns the crash of an engine, or false if the evidence does not contain it.
+func (e Evidence) crash(k engines.Key) (Crash, bool) {
+	i := slices.IndexFunc(e.Crashes, func(c Crash) bool { return c.Engine == k })
+	if i < 0 {
+		return Crash{}, false
+	}
+	return e.Crashes[i], true
+}
+
 // add adds a crash and reports whether it was not known.
 func (s *state) add(c Crash, now time.Time) bool {
 	known := func(k knownCrash) bool { return k.Engine == c.Engine }
