fix(entry): news on crashes fits the control budget and reaches live instances

Messages are filled by bytes. Evidence on requests leaves budget for heartbeats and is sent again when there is some. The end of an engine that has answered this instance since is not believed.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -18,7 +18,7 @@
 	Urgent Kind = iota
 	// Membership traffic is heartbeats and probes.
 	Membership
-	// Suspects is not charged at present; heartbeats carry the requests suspected of crashing engines.
+	// Suspects is evidence on requests that may crash engines. A crash may bring much of it.
 	Suspects
 	// ModelLoads is the part of heartbeats that is left out first, such as loads.
 	ModelLoads
--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -18,15 +19,19 @@
 
 const (
 	// newsFanOut is the number of instances to which news on crashes is sent at once. The first evidence on a subject goes to those of highest rank
-	// for it, which collect it; later evidence and the ends of engines go to random instances, which send them on.
+	// for it, which collect it; later evidence and the ends of engines go to random live instances, which send them on.
 	newsFanOut = 4
 	// newsPause is the minimum time between two such messages, so that the requests of one crash share a message.
 	newsPause = 20 * time.Millisecond
-	// evidencePerMessage bounds the evidence of each kind in a message of news, and pressingPerMessage that in a heartbeat. More news follows in further
-	// messages.
-	evidencePerMessage = 8
+	// newsBytes bounds what a message of news holds, so that it fits in a packet. More news follows in further messages. endBytes, evidenceBytes and
+	// crashBytes are the most that the end of an engine, evidence and each crash in it take.
+	newsBytes     = 1000
+	endBytes      = 10
+	evidenceBytes = 20
+	crashBytes    = 10
+	// pressingPerMessage bounds the evidence of each kind in a heartbeat, and endsPerMessage the ends of engines.
 	pressingPerMessage = 2
-	endsPerMessage     = 32
+	endsPerMessage     = 4
 	// culpritTTL is how long the store keeps a culprit after the last request with it, and culpritMaxAge when it is stored again.
 	culpritTTL    = 10 * time.Minute
 	culpritMaxAge = 5 * time.Minute
@@ -63,9 +68,9 @@
 		shared.requests, firstRequests = n.crashes.Requests.TakeChanged()
 		shared.parts, firstParts = n.crashes.Parts.TakeChanged()
 		for !shared.isEmpty() {
-			m := n.newsMessage(shared.takeSome())
-			for _, peer := range n.randomMembers(newsFanOut) {
-				n.send(peer.Peer, m, budget.Urgent)
+			some := shared.takeSome()
+			for _, peer := range n.randomLive(newsFanOut) {
+				n.sendNewsTo(peer, some)
 			}
 		}
 		byCollector := make(map[string]*news)
@@ -77,13 +82,41 @@
 		}
 		for peer, list := range byCollector {
 			for !list.isEmpty() {
-				n.send(peer, n.newsMessage(list.takeSome()), budget.Urgent)
+				n.sendNewsTo(peer, list.takeSome())
 			}
 		}
 	}
 	return ctx.Err()
 }
 
+// sendNewsTo sends news to an instance. Evidence on requests, of which a crash may bring much, leaves budget for heartbeats, and is sent later if there is
+// none.
+func (n *Instance) sendNewsTo(peer string, l news) {
+	requests := l.requests
+	l.requests = nil
+	if !l.isEmpty() {
+		n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.Urgent)
+	}
+	l = news{requests: requests}
+	if !l.isEmpty() && !n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.Suspects) {
+		n.crashes.Requests.PutBack(requests)
+	}
+}
+
+// randomLive returns the peer addresses of at most count live instances in random order, or of known ones if none is known to be alive.
+func (n *Instance) randomLive(count int) []string {
+	live := n.members.Alive(boottime.Now())
+	if len(live) == 0 {
+		live = n.members.All(boottime.Now())
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	var peers []string
+	for _, m := range live[:min(count, len(live))] {
+		peers = append(peers, m.Peer)
+	}
+	return peers
+}
+
 // addForCollectors adds evidence to the news of the instances that collect it.
 func (n *Instance) addForCollectors(byCollector map[string]*news, e suspects.Evidence, kind func(*news) *[]suspects.Evidence) {
 	peers := n.ranked(suspects.Culprit{e.ID})
@@ -103,12 +136,18 @@
 
 // takeSome removes and returns what fits in one message.
 func (l *news) takeSome() news {
-	return news{requests: takeFirst(&l.requests, evidencePerMessage), parts: takeFirst(&l.parts, evidencePerMessage), ends: takeFirst(&l.ends, endsPerMessage)}
+	left := newsBytes
+	evidence := func(e suspects.Evidence) int { return evidenceBytes + crashBytes*len(e.Crashes) }
+	return news{ends: takeFitting(&l.ends, &left, func(suspects.EngineEnd) int { return endBytes }), parts: takeFitting(&l.parts, &left, evidence), requests: takeFitting(&l.requests, &left, evidence)}
 }
 
-// takeFirst removes and returns up to count elements.
-func takeFirst[T any](list *[]T, count int) []T {
-	count = min(count, len(*list))
+// takeFitting removes and returns the first elements whose sizes together do not exceed left, which it reduces by them.
+func takeFitting[T any](list *[]T, left *int, size func(T) int) []T {
+	count := 0
+	for count < len(*list) && size((*list)[count]) <= *left {
+		*left -= size((*list)[count])
+		count++
+	}
 	first := (*list)[:count]
 	*list = (*list)[count:]
 	return first
@@ -116,27 +155,28 @@
 
 func (n *Instance) newsMessage(l news) heartbeat.Message {
 	m, now := n.baseMessage(), time.Now()
-	m.Requests, m.Parts = encodeEvidence(l.requests, now), encodeEvidence(l.parts, now)
-	for _, e := range l.ends {
-		m.Ends = append(m.Ends, heartbeat.EngineEnd{Engine: e.Engine, Age: heartbeat.MillisOf(now.Sub(e.At))})
-	}
+	m.Requests, m.Parts, m.Ends = encodeEvidence(l.requests, now), encodeEvidence(l.parts, now), encodeEnds(l.ends, now)
 	return m
 }
 
 // mergeNews merges what another instance has sent of crashes.
 func (n *Instance) mergeNews(m heartbeat.Message, now time.Time) {
 	for _, e := range m.Ends {
-		n.crashes.RecordEnd(suspects.EngineEnd{Engine: e.Engine, At: now.Add(-e.Age.Duration())}, now)
+		// An engine may refuse connections of some instances only.
+		if at := now.Add(-e.Age.Duration()); !n.table.AnsweredAfter(e.Engine, at) {
+			n.crashes.RecordEnd(suspects.EngineEnd{Engine: e.Engine, At: at}, now)
+		}
 	}
 	n.crashes.Requests.Merge(decodeEvidence(m.Requests, now), now)
 	n.crashes.Parts.Merge(decodeEvidence(m.Parts, now), now)
 }
 
-// withEvidence adds evidence that the receiver may lack to a heartbeat.
+// withEvidence adds evidence and ends of engines that the receiver may lack to a heartbeat.
 func (n *Instance) withEvidence(m heartbeat.Message) heartbeat.Message {
 	now := time.Now()
 	m.Requests = encodeEvidence(n.crashes.Requests.Pressing(pressingPerMessage, now), now)
 	m.Parts = encodeEvidence(n.crashes.Parts.Pressing(pressingPerMessage, now), now)
+	m.Ends = encodeEnds(n.crashes.RecentEnds(endsPerMessage, now), now)
 	return m
 }
 
@@ -214,7 +254,7 @@
 	}
 	refused := !entry.Deleted && string(entry.Value) == valueRefused
 	// Logged when requests with these subjects begin or cease to be refused.
-	n.log.Warn("culprit", zap.String("key", entry.Key), zap.Stringer("parts", c), zap.Bool("refused", refused), zap.Int64("revision", int64(entry.Revision)))
+	n.log.Warn("culprit", zap.String("key", entry.Key), zap.Bool("refused", refused), zap.Int64("revision", int64(entry.Revision)))
 	if refused {
 		t.SetStored(c, time.Now())
 		return
@@ -222,6 +262,14 @@
 	t.RemoveStored(c, time.Now())
 }
 
+func encodeEnds(list []suspects.EngineEnd, now time.Time) []heartbeat.EngineEnd {
+	var encoded []heartbeat.EngineEnd
+	for _, e := range list {
+		encoded = append(encoded, heartbeat.EngineEnd{Engine: e.Engine, Age: heartbeat.MillisOf(now.Sub(e.At))})
+	}
+	return encoded
+}
+
 // encodeEvidence converts evidence for a message, with ages at now.
 func encodeEvidence(list []suspects.Evidence, now time.Time) []heartbeat.Evidence {
 	var encoded []heartbeat.Evidence
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -290,12 +290,12 @@
 	return observations
 }
 
-// send sends a heartbeat if the control budget covers it. If the budget covers only a part, it leaves out the loads and holders.
+// send sends a heartbeat if the control budget covers it. If the budget covers only a part, it leaves out the loads, holders and evidence on crashes.
 func (n *Instance) send(to string, b heartbeat.Message, kind budget.Kind) {
 	body := heartbeat.Encode(b)
 	short := body
-	if len(b.LocalLoads)+len(b.ReportedLoads)+len(b.Holders) > 0 {
-		b.LocalLoads, b.ReportedLoads, b.Holders = nil, nil, nil
+	if len(b.LocalLoads)+len(b.ReportedLoads)+len(b.Holders)+len(b.Requests)+len(b.Parts)+len(b.Ends) > 0 {
+		b.LocalLoads, b.ReportedLoads, b.Holders, b.Requests, b.Parts, b.Ends = nil, nil, nil, nil, nil, nil
 		short = heartbeat.Encode(b)
 	}
 	now := time.Now()
@@ -305,6 +305,19 @@
 	if !n.controlBudget.Spend(budget.ModelLoads, len(body)-len(short), now) {
 		body = short
 	}
+	n.transmit(to, body)
+}
+
+// sendWhole sends an encoded heartbeat if the control budget covers all of it, and reports whether it does.
+func (n *Instance) sendWhole(to string, body []byte, kind budget.Kind) bool {
+	if !n.controlBudget.Spend(kind, len(body), time.Now()) {
+		return false
+	}
+	n.transmit(to, body)
+	return true
+}
+
+func (n *Instance) transmit(to string, body []byte) {
 	if err := n.heartbeats.Send(to, body); err != nil {
 		n.log.Debug("heartbeat not sent", zap.String("peer", to), zap.Error(err))
 	}
--- a/request/placing/notice.go
+++ b/request/placing/notice.go
@@ -73,6 +73,20 @@
 	return shortest, waits
 }
 
+// IsLeaving reports whether an engine has said that it is about to stop.
+func (t *Table) IsLeaving(k engines.Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engineState(k).isLeaving()
+}
+
+// AnsweredAfter reports whether an engine has answered this instance successfully after a time.
+func (t *Table) AnsweredAfter(k engines.Key, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engineState(k).answeredAt.After(at)
+}
+
 // accepts reports whether the engine, by its own answers, takes requests from this instance, limits aside.
 func (s *engineState) accepts(now time.Time) bool {
 	return !s.isLeaving() && !now.Before(s.pausedUntil)
@@ -82,5 +96,5 @@
 
 // mustOutliveEntry reports whether the engine has said something that still holds when its entry returns.
 func (s *engineState) mustOutliveEntry(now time.Time) bool {
-	return now.Before(s.pausedUntil) || now.Sub(s.leavingAt) < leavingRetention
+	return now.Before(s.pausedUntil) || now.Sub(s.leavingAt) < leavingRetention || s.limit.inForce(now)
 }
