--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -111,10 +111,12 @@
 	holders := t.prefixHolders(all, r.Parts, now)
 	shared := sharedTokens(r.Parts)
 	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
-	usual := max(mean, t.meanUnlimitedLoad(list, loads, now))
-	limit := t.policy.LoadBound*usual + loadAllowance
+	usual := max(mean, t.meanLoadOf(list, loads, func(s *engineState) bool { return !s.limit.inForce(now) }))
 	// crowded says that the engines without a limit together are over the load bound.
 	crowded := usual > t.policy.LoadBound*mean+loadAllowance
+	// The same holds for those that accept requests while others do not.
+	usual = max(usual, t.meanLoadOf(list, loads, func(s *engineState) bool { return s.accepts(now) }))
+	limit := t.policy.LoadBound*usual + loadAllowance
 	// Other instances decide on the same loads. Each draws its own limit, so that the probability of avoiding an engine grows with its load.
 	limit -= rand.Float64() * max(limit-softBound*usual-softAllowance, 0)
 	best := Choice{Cost: math.Inf(1)}
--- a/request/placing/limit.go
+++ b/request/placing/limit.go
@@ -146,12 +146,11 @@
 	return namedRoom
 }
 
-// meanUnlimitedLoad returns the mean load of the engines that have not named a limit, which take what exceeds the limits of the others. It
-// returns 0 if all have.
-func (t *Table) meanUnlimitedLoad(list []engines.Engine, loads []int, now time.Time) float64 {
+// meanLoadOf returns the mean load of the engines for which counts returns true, or 0 if it does for none.
+func (t *Table) meanLoadOf(list []engines.Engine, loads []int, counts func(*engineState) bool) float64 {
 	sum, count := 0, 0
 	for i, e := range list {
-		if s := t.engineState(e.Key); !s.limit.inForce(now) {
+		if counts(t.engineState(e.Key)) {
 			sum += loads[i]
 			count++
 		}
--- a/request/placing/notice_test.go
+++ b/request/placing/notice_test.go
@@ -52,6 +52,46 @@
 	}
 }
 
+// TestLimitOutlivesTheEntryOfItsEngine guards against a full share of a limit whenever the entry of an engine returns.
+func TestLimitOutlivesTheEntryOfItsEngine(t *testing.T) {
+	table, all := New(Policy{LoadBound: 1.5}), engines.NewList(list(desk, 1))
+	table.SetFleet("a", []string{"a"})
+	rate := RequestRate(1)
+	table.RecordNotice(all.OfService(desk)[0].Key, Notice{Limit: &rate}, start)
+	placed := 0
+	for now := start; now.Sub(start) < limitWindow; now = now.Add(100 * time.Millisecond) {
+		if _, p, ok := table.Choose(all, Request{Service: desk, Instances: 1}, now); ok {
+			p.End()
+			placed++
+		}
+		table.Prune(func(engines.Key) bool { return false }, now)
+	}
+	if bound := limitTolerance*float64(rate)*limitWindow.Seconds() + limitAllowance; float64(placed) > bound {
+		t.Errorf("%d requests are placed in %s, allowed %.0f", placed, limitWindow, bound)
+	}
+}
+
+// TestBoundDoesNotCountEnginesThatTakeNone guards against a bound so low that all engines that take requests are over it, and load no longer counts.
+func TestBoundDoesNotCountEnginesThatTakeNone(t *testing.T) {
+	for _, notice := range []Notice{{Leaving: true}, {PausedFor: time.Second}} {
+		table, all := New(Policy{LoadBound: 1.5}), engines.NewList(list(llm, 10))
+		on := all.OfService(llm)
+		for i, e := range on {
+			n := notice
+			n.Load = &Report{}
+			if i < 2 {
+				n = Notice{Load: &Report{Running: []int{40, 12}[i]}}
+			}
+			table.RecordNotice(e.Key, n, start)
+		}
+		parts := prompt("a", "b")
+		table.MergeHolders([]Holder{{Part: parts[0].ID, Engine: on[0].Key, At: start}})
+		if c, _ := choose(t, table, all, Request{Service: llm, Parts: parts, Instances: 1}, start); c.Engine.Key != on[1].Key {
+			t.Errorf("%+v: the engine with load %d is chosen, mean %.1f", notice, c.EngineLoad, c.MeanLoad)
+		}
+	}
+}
+
 // TestOthersAreChosenWhileAnEngineTakesNone guards against refusing requests, or exceeding the bound, while other engines have room.
 func TestOthersAreChosenWhileAnEngineTakesNone(t *testing.T) {
 	table, all := New(Policy{LoadBound: 1.5}), engines.NewList(list(llm, 3))
