fix(forward): engines that stop as planned raise no suspicion

Found by review: a request that two leaving engines dropped one after the other was refused with 502 although a third engine was free, also when it came again (TestPlannedEndsAreNoCrashes). Also: only a sealed failure counts as an answer without a crash, a 421 says nothing about the engine that was asked for, and a request that is refused anyway takes nothing from the retry budget.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -120,7 +120,7 @@
 	for {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
-		if ctx.Err() != nil || !x.mayContinue(now) {
+		if ctx.Err() != nil {
 			break
 		}
 		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
@@ -133,6 +133,9 @@
 			x.Metrics.Add("suspectsRefused", 1)
 			break
 		}
+		if !x.mayContinue(now) {
+			break
+		}
 		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried}
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
@@ -196,7 +199,9 @@
 	}
 	x.sends++
 	defer func() { _ = resp.Body.Close() }()
-	x.Table.RecordNotice(e.Key, x.Names.notice(resp), time.Now())
+	if resp.Status != http.StatusMisdirectedRequest {
+		x.Table.RecordNotice(e.Key, x.Names.notice(resp), time.Now())
+	}
 	if resp.Header.Get(x.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		x.reason = "the engine refused with status " + strconv.Itoa(resp.Status)
 		if resp.Status == http.StatusMisdirectedRequest {
@@ -333,7 +338,9 @@
 		return resultLost
 	}
 	x.Table.RecordSuccess(e, now)
-	x.recordAnswered(ok)
+	if resp.Header.Get(x.Names.ResponseSeal) != "" {
+		x.recordAnswered(ok)
+	}
 	x.writeAnswer(a)
 	return resultAnswered
 }
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -828,3 +828,39 @@
 		})
 	}
 }
+
+// TestPlannedEndsAreNoCrashes guards against suspecting a request because engines that were expected to stop have stopped while they ran it.
+func TestPlannedEndsAreNoCrashes(t *testing.T) {
+	tests := []struct {
+		name string
+		// announce makes the end of an engine known.
+		announce func(f *fixture, e engines.Engine)
+	}{
+		{"draining", func(f *fixture, e engines.Engine) { f.setDraining(e.Address) }},
+		{"leaving", func(f *fixture, e engines.Engine) {
+			f.handler.Table.RecordNotice(e.Key, placing.Notice{Leaving: true}, time.Now())
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, routing.Route{Kind: routing.Idempotent, MaxEngines: 3, TargetFirstByte: time.Second}, func(int, http.ResponseWriter, *http.Request) {})
+			for i, s := range f.servers {
+				e := f.engines.Load().OfService(service)[i]
+				s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+					if f.runs.Add(1) <= 2 {
+						tt.announce(f, e)
+						_ = s.Listener.Close()
+						abortConnection()
+					}
+					writeSealed(w, "ok")
+				})
+			}
+			for n := range 2 {
+				if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("send %d: %v, %v", n, resp, err)
+				}
+			}
+		})
+	}
+}
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -129,10 +129,10 @@
 	return true
 }
 
-// recordLost records that the engine accepted the request and its answer was lost, unless it has been answering for longer than beginWindow: an
-// engine crashes as it begins the answer.
+// recordLost records that the engine accepted the request and its answer was lost, unless it has been answering for longer than beginWindow, since an
+// engine crashes as it begins the answer, or is expected to stop.
 func (x *exchange) recordLost(e engines.Engine, now time.Time) {
-	if x.answeringSince.IsZero() || now.Sub(x.answeringSince) <= beginWindow {
+	if !x.isStopping(e) && (x.answeringSince.IsZero() || now.Sub(x.answeringSince) <= beginWindow) {
 		x.Crashes.RecordLost(e.Key, x.subjects, now)
 	}
 }
@@ -143,8 +143,13 @@
 	if resp.Framed {
 		return false
 	}
+	return !x.isStopping(e) && x.checkCrashed(ctx, e)
+}
+
+// isStopping reports whether an engine is expected to stop: it has said so, is draining or is no longer registered.
+func (x *exchange) isStopping(e engines.Engine) bool {
 	current, registered := x.Snapshot().Engines.Get(e.Key)
-	return registered && !current.Draining && x.checkCrashed(ctx, e)
+	return !registered || current.Draining || x.Table.IsLeaving(e.Key)
 }
 
 // recordAnswered records that an engine has answered the request without a crash. Only a success counts for the parts of its prompt.
@@ -154,7 +159,7 @@
 
 // markUnreachable puts an engine into back-off. If its process has ended, the requests whose answers it has just lost are suspected.
 func (x *exchange) markUnreachable(e engines.Engine, processEnded bool, now time.Time) {
-	if processEnded {
+	if processEnded && !x.isStopping(e) {
 		if n := x.Crashes.RecordEnd(suspects.EngineEnd{Engine: e.Key, At: now}, now); n > 0 {
 			x.Log.Warn("requests suspected", zap.String("engine", string(e.ID)), zap.Int("requests", n))
 		}
