feat(soak): engines name times for which they want no requests, leave, and crash on the same request again

Beside the faults that exist, engines refuse requests with Not-Executed and Retry-After, say for 1 to 3 s that they are leaving (with their entry, or without), and crash on one target without a body and on one with. The retry budget counts requests that engines refuse too. The checks of all calls are reported before those of recovery and the restart, whose violation may follow from theirs. The requests for crashing targets end before the check of recovery.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,10 +35,13 @@
 		path     string
 		key      string
 		instance string
-		// crashes says that engines crash on a part of the prompt.
-		crashes bool
+		// crashes is the cause for which engines crash on the request, or "".
+		crashes string
 		sentAt  time.Time
 		endedAt time.Time
+		// engine is the engine whose answer the caller got, as its seal says, and leaving says that the engine is leaving.
+		engine  ident.Engine
+		leaving bool
 		// status is 0 if the connection broke before or during the answer.
 		status int
 		body   string
@@ -83,7 +85,7 @@
 			address = addresses[rand.IntN(len(addresses))]
 		}
 		if address != "" {
-			sent := c.send(client, address, paths[(n+number)%len(paths)], keys[n%len(keys)], soundPart)
+			sent := c.send(client, address, paths[(n+number)%len(paths)], keys[n%len(keys)], "")
 			if sent.status == 0 || rand.IntN(callsPerInstance) == 0 {
 				address = ""
 			}
@@ -115,9 +117,19 @@
 	return nil
 }
 
-func (c *callers) send(client *http.Client, address, path, key, part string) call {
-	r := call{id: ident.NewRequest(), path: path, key: key, instance: address, crashes: part == crashingPart, sentAt: time.Now()}
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+path+"x", bytes.NewReader([]byte(r.id)))
+// send sends a request, which crashes engines for a cause unless that is "".
+func (c *callers) send(client *http.Client, address, path, key, crashes string) call {
+	r := call{id: ident.NewRequest(), path: path, key: key, instance: address, crashes: crashes, sentAt: time.Now()}
+	method, target, body, parts := http.MethodPost, "x", string(r.id), fmt.Sprintf("%s:100,%s:100,%s:10", sharedPart, soundPart, r.id)
+	switch crashes {
+	case crashingPart:
+		parts = strings.Replace(parts, soundPart, crashingPart, 1)
+	case crashingTarget:
+		method, target, body, parts = http.MethodGet, crashes, "", ""
+	case crashingBody:
+		target, body, parts = crashes, crashes, ""
+	}
+	req, err := http.NewRequest(method, "http://"+address+path+target, strings.NewReader(body))
 	if err != nil {
 		r.err = err
 		return r
@@ -127,14 +139,16 @@
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set(c.names.RequestID, string(r.id))
-	req.Header.Set(c.names.PromptParts, fmt.Sprintf("%s:100,%s:100,%s:10", sharedPart, part, r.id))
+	if parts != "" {
+		req.Header.Set(c.names.PromptParts, parts)
+	}
 	req.Header.Set(c.names.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
 	resp, err := client.Do(req)
 	if err == nil {
-		var body []byte
-		body, err = io.ReadAll(resp.Body)
+		var answer []byte
+		answer, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		r.body = string(body)
+		r.body, r.engine, r.leaving = string(answer), ident.Engine(resp.Header.Get(c.names.ResponseSeal)), resp.Header.Get(c.names.Leaving) != ""
 		if err == nil {
 			r.status = resp.StatusCode
 		}
@@ -149,13 +163,22 @@
 	c.calls = append(c.calls, r)
 }
 
+// byID returns the calls by their ids.
+func (c *callers) byID() map[ident.Request]call {
+	calls := make(map[ident.Request]call)
+	for _, r := range c.calls {
+		calls[r.id] = r
+	}
+	return calls
+}
+
 // soundAfter returns the calls that were sent after t and do not crash engines.
 func (c *callers) soundAfter(t time.Time) []call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []call
 	for _, r := range c.calls {
-		if r.sentAt.After(t) && !r.crashes {
+		if r.sentAt.After(t) && r.crashes == "" {
 			list = append(list, r)
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -22,11 +22,10 @@
 			return err
 		}
 	}
-	if err := r.checkCrashingPart(); err != nil {
-		return err
-	}
-	if err := r.checkLimits(); err != nil {
-		return err
+	for _, check := range []func() error{r.checkCrashes, r.checkLimits, r.checkNotices} {
+		if err := check(); err != nil {
+			return err
+		}
 	}
 	return r.checkRetries()
 }
@@ -40,7 +39,7 @@
 		return r.violation("refused requests did not run", c, fmt.Sprintf("status %d, but it ran", c.status))
 	case runs > 2:
 		return r.violation("attempts per request", c, fmt.Sprintf("ran %d times, but the route allows 2 attempts", runs))
-	case c.crashes && c.status == http.StatusOK:
+	case c.crashes != "" && c.status == http.StatusOK:
 		return r.violation("successes come from engines", c, "success, but engines crash on it")
 	case c.status == http.StatusOK && runs == 0:
 		return r.violation("successes come from engines", c, "success, but no engine ran it")
@@ -55,14 +54,15 @@
 	return nil
 }
 
-// checkRetries checks that in each retryWindow the executions exceed the requests by no more than the retry budget.
+// checkRetries checks that in each retryWindow the requests at engines, run or not, exceed those of callers by no more than the retry budget.
 func (r *run) checkRetries() error {
-	slices.SortFunc(r.executions.starts, time.Time.Compare)
-	for i, from := range r.executions.starts {
-		runs, requests := 0, 0
-		for _, at := range r.executions.starts[i:] {
-			if at.Sub(from) < retryWindow {
-				runs++
+	visits := r.executions.visits
+	slices.SortFunc(visits, func(a, b visit) int { return a.at.Compare(b.at) })
+	for i, first := range visits {
+		from, sends, requests := first.at, 0, 0
+		for _, v := range visits[i:] {
+			if v.at.Sub(from) < retryWindow {
+				sends++
 			}
 		}
 		for _, c := range r.callers.calls {
@@ -71,8 +71,8 @@
 				requests++
 			}
 		}
-		if float64(runs-requests) > retryRatio*float64(requests)+retrySlack {
-			return &ViolationError{Guarantee: "retry budget", Detail: fmt.Sprintf("%d executions for %d requests in the window from %s", runs, requests, from.Format(time.StampMilli)), Seed: r.Seed}
+		if float64(sends-requests) > retryRatio*float64(requests)+retrySlack {
+			return &ViolationError{Guarantee: "retry budget", Detail: fmt.Sprintf("%d requests at engines for %d requests in the window from %s", sends, requests, from.Format(time.StampMilli)), Seed: r.Seed}
 		}
 	}
 	return nil
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/pause"
 )
 
@@ -19,15 +21,23 @@
 	sharedPart   = "shared"
 	soundPart    = "sound"
 	crashingPart = "crashing"
-	// Requests with crashingPart reach engines at most maxCrashingSends times later than contact after crash maxPartCrashes.
+	// Engines also crash on the paths that end in crashingTarget, of requests without a body, and in crashingBody. These come again unchanged.
+	crashingTarget = "crash"
+	crashingBody   = "crash-body"
+	// Requests with a cause of crashes reach engines at most maxCrashingSends times later than contact after crash maxPartCrashes or
+	// maxTargetCrashes.
 	maxPartCrashes   = 5
+	maxTargetCrashes = 3
 	maxCrashingSends = 3
-	// crashingInterval is the time between two requests with crashingPart, and meanCrashingDelay the mean time until the first one.
+	// crashingInterval is the time between two requests with the same cause, and meanCrashingDelay the mean time until the first one.
 	crashingInterval  = 60 * time.Millisecond
 	meanCrashingDelay = 3 * time.Second
 )
 
-// disturbances records the times at which an instance was not in touch with the others or the store. It is safe for concurrent use.
+// crashCauses are the causes of crashes, and the numbers of crashes after which requests with them must stop.
+var crashCauses = map[string]int{crashingPart: maxPartCrashes, crashingTarget: maxTargetCrashes, crashingBody: maxTargetCrashes}
+
+// disturbances records the times at which something was not in touch. It is safe for concurrent use.
 type disturbances struct {
 	mu    sync.Mutex
 	spans [][2]time.Time
@@ -40,44 +50,59 @@
 }
 
 // inTouch reports whether there was no disturbance from contact before the first time to the second one.
-func (d *disturbances) inTouch(from, to time.Time) bool {
+func (d *disturbances) inTouch(from, to time.Time) bool { return !d.between(from.Add(-contact), to) }
+
+// between reports whether there was a disturbance between two times.
+func (d *disturbances) between(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !slices.ContainsFunc(d.spans, func(s [2]time.Time) bool { return s[1].After(from.Add(-contact)) && s[0].Before(to) })
+	return slices.ContainsFunc(d.spans, func(s [2]time.Time) bool { return s[1].After(from) && s[0].Before(to) })
+}
+
+// crashCause returns the cause for which engines crash on a request, or "".
+func crashCause(r *http.Request, names forward.HeaderNames) string {
+	if strings.Contains(r.Header.Get(names.PromptParts), crashingPart) {
+		return crashingPart
+	}
+	for _, target := range []string{crashingTarget, crashingBody} {
+		if strings.HasSuffix(r.URL.Path, "/"+target) {
+			return target
+		}
+	}
+	return ""
 }
 
-// runCrashing sends requests with crashingPart to random instances until ctx ends, after a delay.
-func (c *callers) runCrashing(ctx context.Context, delay time.Duration) {
+// runCrashing sends requests that crash engines for a cause to random instances until ctx ends, after a delay. Those for a part of the prompt
+// use all paths, and those for a target always the same one.
+func (c *callers) runCrashing(ctx context.Context, cause string, delay time.Duration) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
 	var all sync.WaitGroup
 	defer all.Wait()
-	paths := []string{pathRepeatable, pathStream, pathOnce}
+	paths := map[string][]string{crashingPart: {pathRepeatable, pathStream, pathOnce}, crashingTarget: {pathRepeatable}, crashingBody: {pathOnce}}[cause]
 	for n, ok := 0, pause.For(ctx, delay); ok; n, ok = n+1, pause.For(ctx, crashingInterval) {
 		address := fmt.Sprintf("%s:%d", c.instances[rand.IntN(len(c.instances))].ip, callersPort)
-		all.Go(func() { c.record(c.send(client, address, paths[n%len(paths)], validKey, crashingPart)) })
+		all.Go(func() { c.record(c.send(client, address, paths[n%len(paths)], validKey, cause)) })
 	}
 }
 
-// checkCrashingPart checks that requests with crashingPart do not reach engines after enough crashes, from instances in touch.
-func (r *run) checkCrashingPart() error {
-	log := r.executions
-	if len(log.partCrashes) < maxPartCrashes {
-		return nil
-	}
-	from := log.partCrashes[maxPartCrashes-1].Add(contact)
-	sent := 0
-	for _, a := range log.partArrivals {
-		i := slices.IndexFunc(r.callers.calls, func(c call) bool { return c.id == a.id })
-		if i < 0 || !a.at.After(from) {
-			continue
-		}
-		c := r.callers.calls[i]
-		if !r.instanceAt(c.instance).disturbed.inTouch(c.sentAt, a.at) {
+// checkCrashes checks that requests with a cause of crashes do not reach engines after enough crashes, from instances in touch.
+func (r *run) checkCrashes() error {
+	calls := r.callers.byID()
+	for cause, allowed := range crashCauses {
+		crashes := r.executions.crashes[cause]
+		if len(crashes) < allowed {
 			continue
 		}
-		if sent++; sent > maxCrashingSends {
-			return r.violation("parts that crash engines", c, fmt.Sprintf("request %d with the part that reaches an engine later than %s after crash %d, %d crashes in all",
-				sent, contact, maxPartCrashes, len(log.partCrashes)))
+		from, sent := crashes[allowed-1].Add(contact), 0
+		for _, a := range r.executions.crashArrivals[cause] {
+			c, ok := calls[a.id]
+			if !ok || !a.at.After(from) || !r.instanceAt(c.instance).disturbed.inTouch(c.sentAt, a.at) {
+				continue
+			}
+			if sent++; sent > maxCrashingSends {
+				return r.violation("requests that crash engines", c, fmt.Sprintf("request %d with %q that reaches an engine later than %s after crash %d, %d crashes in all",
+					sent, cause, contact, allowed, len(crashes)))
+			}
 		}
 	}
 	return nil
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +23,8 @@
 	eventsPerStream = 20
 	eventInterval   = 10 * time.Millisecond
 	processingTime  = 20 * time.Millisecond
-	// partDowntime is how long an engine that has crashed on a part is away.
-	partDowntime = 400 * time.Millisecond
+	// downtime is how long an engine is away that has crashed on a request or has left.
+	downtime     = 400 * time.Millisecond
 	slots        = 50
 	service      = ident.Service("s")
 	organisation = ident.Organisation("museum")
@@ -37,12 +38,15 @@
 		store      *memstore.Store
 		server     *http.Server
 		proxy      *proxy
-		// mu guards id, restarting and limit. An engine that has crashed on a part of a prompt starts again under a new id.
+		// disturbed holds the times at which the proxy harmed connections.
+		disturbed disturbances
+		// mu guards id, restarting, limit and notices. An engine that has crashed on a request or has left starts again under a new id.
 		mu         sync.Mutex
 		id         ident.Engine
 		restarting bool
 		// limit is the current limit of the engine, or nil.
-		limit *limitSpan
+		limit   *limitSpan
+		notices notices
 		// losesAnswers makes the engine run requests but, for a third of them, close the connection instead of answering.
 		losesAnswers atomic.Bool
 	}
@@ -52,12 +56,13 @@
 		mu       sync.Mutex
 		runs     map[ident.Request]int
 		problems []string
-		starts   []time.Time
-		// partCrashes are the times at which engines crashed on crashingPart, and partArrivals the requests with it that they received.
-		partCrashes  []time.Time
-		partArrivals []arrival
+		// crashes are the times at which engines crashed on requests, by cause, and crashArrivals the requests with that cause.
+		crashes       map[string][]time.Time
+		crashArrivals map[string][]arrival
 		// limits are the limits that engines named.
 		limits []limitSpan
+		// visits are all requests that reached engines, also those that were not run.
+		visits []visit
 	}
 
 	// arrival is a request that an engine received at a time.
@@ -67,7 +72,9 @@
 	}
 )
 
-func newExecutionLog() *executionLog { return &executionLog{runs: make(map[ident.Request]int)} }
+func newExecutionLog() *executionLog {
+	return &executionLog{runs: make(map[ident.Request]int), crashes: make(map[string][]time.Time), crashArrivals: make(map[string][]arrival)}
+}
 
 func (r *executionLog) count(id ident.Request) int {
 	r.mu.Lock()
@@ -79,7 +86,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
-	r.starts = append(r.starts, time.Now())
 	if problem != "" {
 		r.problems = append(r.problems, fmt.Sprintf("request %s: %s", id, problem))
 	}
@@ -91,16 +97,27 @@
 	r.problems = append(r.problems, problem)
 }
 
-func (r *executionLog) recordPartCrash() {
+func (r *executionLog) recordCrash(cause string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.partCrashes = append(r.partCrashes, time.Now())
+	r.crashes[cause] = append(r.crashes[cause], time.Now())
 }
 
-func (r *executionLog) recordPartArrival(id ident.Request) {
+// crashTimes returns the times of the crashes on requests, by cause.
+func (r *executionLog) crashTimes() map[string][]time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.partArrivals = append(r.partArrivals, arrival{id, time.Now()})
+	times := make(map[string][]time.Time)
+	for cause, list := range r.crashes {
+		times[cause] = slices.Clone(list)
+	}
+	return times
+}
+
+func (r *executionLog) recordCrashArrival(cause string, id ident.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashArrivals[cause] = append(r.crashArrivals[cause], arrival{id, time.Now()})
 }
 
 // startEngine starts an engine and registers it in the store.
@@ -131,22 +148,29 @@
 	return e.id
 }
 
-// crashOnPart crashes the engine while it runs a request with crashingPart. It starts again at the same address under a new id.
-func (e *engine) crashOnPart() {
+// crashOn crashes the engine while it runs a request with a cause of crashes.
+func (e *engine) crashOn(cause string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.restart() {
+		e.executions.recordCrash(cause)
+	}
+}
+
+// restart ends the engine, which starts again at the same address under a new id. It returns false if the engine has ended already. The caller
+// holds mu.
+func (e *engine) restart() bool {
 	if e.restarting || !e.proxy.suspend() {
-		return
+		return false
 	}
 	e.restarting = true
 	e.endLimit()
-	e.executions.recordPartCrash()
-	time.AfterFunc(partDowntime, func() {
+	time.AfterFunc(downtime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		standin.RemoveEngine(e.store, e.id)
 		e.id += "'"
-		e.restarting = false
+		e.restarting, e.notices = false, notices{}
 		if err := e.proxy.resume(); err != nil {
 			e.executions.recordProblem(err.Error())
 			return
@@ -155,6 +179,7 @@
 			e.executions.recordProblem(err.Error())
 		}
 	})
+	return true
 }
 
 // ServeHTTP runs a request and answers with a stream or a short body, depending on the path.
@@ -168,20 +193,22 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if limit := e.nameLimit(id); limit != "" {
+		w.Header().Set(e.names.Limit, limit)
+	}
+	if e.giveNotice(w, id) {
+		return
+	}
 	e.executions.recordStart(id, e.problem(r))
-	if strings.Contains(r.Header.Get(e.names.PromptParts), crashingPart) {
-		e.executions.recordPartArrival(id)
+	if cause := crashCause(r, e.names); cause != "" {
+		e.executions.recordCrashArrival(cause, id)
 		if rand.IntN(2) == 0 {
 			defer e.beginAnswer(w, id)()
 		}
 		time.Sleep(processingTime)
-		e.crashOnPart()
+		e.crashOn(cause)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(e.names.ResponseSeal, "seal")
-	if limit := e.nameLimit(id); limit != "" {
-		w.Header().Set(e.names.Limit, limit)
-	}
 	if e.losesAnswers.Load() && rand.IntN(3) == 0 {
 		time.Sleep(processingTime)
 		panic(http.ErrAbortHandler)
--- a/soak/instance.go
+++ b/soak/instance.go
@@ -41,8 +41,8 @@
 	process   atomic.Pointer[process]
 	lifecycle sync.Mutex
 	closed    bool
-	// disturbed holds the times at which the instance was paused, restarted or cut off from the store.
-	disturbed disturbances
+	// disturbed holds the times at which the instance was paused, restarted or cut off from the store, and halted those of the first two.
+	disturbed, halted disturbances
 	// exits passes on the ends of processes that the soak has not ended.
 	exits chan<- string
 }
@@ -105,7 +105,7 @@
 	n.lifecycle.Lock()
 	defer n.lifecycle.Unlock()
 	from := time.Now()
-	defer func() { n.disturbed.add(from, time.Now()) }()
+	defer func() { n.halt(from, time.Now()) }()
 	stopErr := n.end(s)
 	time.Sleep(delay)
 	if err := n.launch(); err != nil {
@@ -149,12 +149,18 @@
 	if n.closed || n.process.Load() != ended {
 		return
 	}
-	n.disturbed.add(time.Now(), time.Now())
+	n.halt(time.Now(), time.Now())
 	if err := n.launch(); err != nil {
 		n.exits <- err.Error()
 	}
 }
 
+// halt records that the instance was paused or restarted.
+func (n *instance) halt(from, to time.Time) {
+	n.disturbed.add(from, to)
+	n.halted.add(from, to)
+}
+
 // endedBy reports whether the error of a process that has ended says that a signal has ended it.
 func endedBy(err error, s syscall.Signal) bool {
 	var exit *exec.ExitError
--- a/soak/limiting.go
+++ b/soak/limiting.go
@@ -14,8 +14,8 @@
 	limitWindow    = 4 * time.Second
 	limitTolerance = 1.5
 	limitAllowance = 5
-	// limitNotice is the time after which an instance that has relayed an answer with a limit must keep to it.
-	limitNotice = 500 * time.Millisecond
+	// notice is the time after which an instance must keep to what an engine's answer says.
+	notice = 500 * time.Millisecond
 	// minLimit is the lowest limit in requests a second, and limitRange the number of limits from there on.
 	minLimit   = 2
 	limitRange = 5
@@ -78,10 +78,7 @@
 // checkLimits checks that engines get no more than their limits allow, from contact after they name them, from instances that are in touch and
 // have relayed an answer with the limit.
 func (r *run) checkLimits() error {
-	calls := make(map[ident.Request]call)
-	for _, c := range r.callers.calls {
-		calls[c.id] = c
-	}
+	calls := r.callers.byID()
 	for _, s := range r.executions.limits {
 		noticed := make(map[string]time.Time)
 		var counted []arrival
@@ -94,7 +91,7 @@
 			if c.status != 0 && (!relayed || c.endedAt.Before(at)) {
 				noticed[c.instance] = c.endedAt
 			}
-			if relayed && a.at.After(at.Add(limitNotice)) && a.at.After(s.from.Add(contact)) && r.instanceAt(c.instance).disturbed.inTouch(a.at.Add(-limitWindow), a.at) {
+			if relayed && a.at.After(at.Add(notice)) && a.at.After(s.from.Add(contact)) && r.instanceAt(c.instance).disturbed.inTouch(a.at.Add(-limitWindow), a.at) {
 				counted = append(counted, a)
 			}
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -87,7 +88,7 @@
 		// exits receives the ends of processes that the soak has not ended.
 		exits     chan string
 		revokedAt time.Time
-		// mu guards the fields below, which concurrent faults use.
+		// mu guards the fields below and writes to engines, which concurrent faults use.
 		mu      sync.Mutex
 		version routing.Version
 		keys    []string
@@ -118,15 +119,27 @@
 		defer close(ended)
 		r.callers.run(callCtx, max(minCallerCount, o.Instances))
 	}()
-	var crashing sync.WaitGroup
-	crashing.Go(func() {
-		r.callers.runCrashing(callCtx, randomAround(rand.New(rand.NewPCG(r.Seed, r.Seed+2)), meanCrashingDelay))
-	})
+	faultCtx, endTargets := context.WithCancel(callCtx)
+	defer endTargets()
+	var crashing, targets sync.WaitGroup
+	delays := rand.New(rand.NewPCG(r.Seed, r.Seed+2))
+	partDelay := randomAround(delays, meanCrashingDelay)
+	crashing.Go(func() { r.callers.runCrashing(callCtx, crashingPart, partDelay) })
+	for _, cause := range []string{crashingTarget, crashingBody} {
+		delay := randomAround(delays, meanCrashingDelay)
+		targets.Go(func() { r.callers.runCrashing(faultCtx, cause, delay) })
+	}
 	var series sync.WaitGroup
 	series.Go(func() { r.injectSeries(ctx) })
+	series.Go(func() { r.injectNotices(ctx) })
 	r.injectFaults(ctx)
 	series.Wait()
 	r.endFaults()
+	r.noticeInTouch(ctx)
+	// Instances that are restarted later may let a few more of these requests through, and the crashes would break off others.
+	endTargets()
+	targets.Wait()
+	r.endNotices()
 	err := r.checkRecovery(ctx)
 	if err == nil {
 		err = r.checkRollingRestart(ctx)
@@ -134,13 +147,14 @@
 	stopCalls()
 	<-ended
 	crashing.Wait()
-	if err != nil {
-		return err
+	// Another broken guarantee may be why the instances have not recovered, so it is reported first.
+	if checkErr := r.check(); checkErr != nil {
+		return checkErr
 	}
-	if err := r.check(); err != nil {
+	if err != nil {
 		return err
 	}
-	fmt.Fprintf(o.Out, "seed %d: %d calls, %d runs, %d faults, %d crashes on a part, %d limits, no guarantee violated\n", o.Seed, len(r.callers.calls), len(r.executions.starts), len(r.faults), len(r.executions.partCrashes), len(r.executions.limits))
+	fmt.Fprintf(o.Out, "seed %d: %d calls, %d requests at engines, %d faults, %d crashes on requests, %d limits, no guarantee violated\n", o.Seed, len(r.callers.calls), len(r.executions.visits), len(r.faults), len(slices.Concat(slices.Collect(maps.Values(r.executions.crashTimes()))...)), len(r.executions.limits))
 	return nil
 }
 
@@ -200,6 +214,8 @@
 	r.lastEngineID++
 	e, err := startEngine(ident.Engine(fmt.Sprintf("e%d", r.lastEngineID)), platform.New("").Names, r.executions, r.store)
 	if err == nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.engines = append(r.engines, e)
 	}
 	return err
@@ -253,9 +269,11 @@
 		m := mode(kind-4) + slow
 		name = fmt.Sprintf("proxy to engine %s in mode %d", e.currentID(), m)
 		e.proxy.setMode(m)
+		e.disturbed.add(time.Now(), time.Now().Add(duration))
 		time.AfterFunc(duration, func() { e.proxy.setMode(pass) })
 	case 7:
 		name = "connections to engine " + string(e.currentID()) + " reset"
+		e.disturbed.add(time.Now(), time.Now())
 		e.proxy.reset()
 	case 8:
 		name = "engine " + string(e.currentID()) + " loses answers"
@@ -264,13 +282,15 @@
 	case 9:
 		name = "engine " + string(e.currentID()) + " crashes and a new engine starts"
 		e.crash()
-		r.engines = append(r.engines[:engineIndex], r.engines[engineIndex+1:]...)
+		r.mu.Lock()
+		r.engines = slices.Delete(r.engines, engineIndex, engineIndex+1)
+		r.mu.Unlock()
 		if err := r.addEngine(); err != nil {
 			name = err.Error()
 		}
 	case 10:
 		name = "instance " + n.ip + " paused"
-		n.disturbed.add(time.Now(), time.Now().Add(duration))
+		n.halt(time.Now(), time.Now().Add(duration))
 		n.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		n.signal(syscall.SIGCONT)
@@ -407,6 +427,11 @@
 	for _, f := range r.faults {
 		e.Timeline = append(e.Timeline, "fault: "+f)
 	}
+	for cause, times := range r.executions.crashTimes() {
+		for _, at := range times {
+			e.Timeline = append(e.Timeline, fmt.Sprintf("fault: %s an engine crashes on %q", at.Format(time.StampMilli), cause))
+		}
+	}
 	return e
 }
 
