--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -137,6 +137,9 @@
 			break
 		}
 		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried}
+		if x.sends > 0 && x.Table.HasUntried(x.snapshot.Engines, request, now) && !x.takeRetry(now) {
+			break
+		}
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
 			x.verdict = "no engine is left"
@@ -158,7 +161,7 @@
 	x.giveUp(ctx)
 }
 
-// mayContinue reports whether another attempt is allowed, and takes a retry from the budget. It sets verdict if not.
+// mayContinue reports whether another attempt is allowed, apart from the budget. It sets verdict if not.
 func (x *exchange) mayContinue(now time.Time) bool {
 	if x.sends == 0 {
 		if len(x.tried) == 0 {
@@ -175,13 +178,20 @@
 		x.verdict = "as many engines as the route allows have had it"
 	case x.stream != nil && x.stream.last == "":
 		x.verdict = "the events of the stream have no ids"
-	case !x.retryReserved.Swap(false) && !x.Budget.Take(x.service, x.snapshot.Instances, now):
-		x.verdict = "no budget for a repeat"
-		x.Metrics.Add("retriesOverBudget", 1)
 	}
 	return x.verdict == ""
 }
 
+// takeRetry takes a retry from the budget unless one is reserved. It sets verdict if there is none.
+func (x *exchange) takeRetry(now time.Time) bool {
+	if x.retryReserved.Swap(false) || x.Budget.Take(x.service, x.snapshot.Instances, now) {
+		return true
+	}
+	x.verdict = "no budget for a repeat"
+	x.Metrics.Add("retriesOverBudget", 1)
+	return false
+}
+
 // attempt sends the request to one engine and relays the answer.
 func (x *exchange) attempt(ctx context.Context, choice placing.Choice, inFlight *placing.Placement, now time.Time) result {
 	ctx, cancel := context.WithCancel(ctx)
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -165,6 +165,16 @@
 	return best, t.place(best, r, now), true
 }
 
+// HasUntried reports whether a service has an engine that was not tried for a request and accepts it.
+func (t *Table) HasUntried(all *engines.List, r Request, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(all.OfService(r.Service), func(e engines.Engine) bool {
+		s := t.engineState(e.Key)
+		return !slices.Contains(r.Tried, e.ID) && s.accepts(now) && t.roomAt(e.Key, s, now) != noRoom
+	})
+}
+
 // guessSource sets the engine that all instances prefer for the prompt as its source if another engine was chosen.
 func (c *Choice) guessSource(list []engines.Engine, ranks []int) {
 	for i, e := range list {
