fix(entry): news that the control budget does not cover waits longer

Found by reading: evidence on many requests was ranked again every 20 ms until the budget covered it, which takes much of a small instance's processor.

--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -21,8 +21,10 @@
 	// newsFanOut is the number of instances to which news on crashes is sent at once. The first evidence on a subject goes to those of highest rank
 	// for it, which collect it; later evidence and the ends of engines go to random live instances, which send them on.
 	newsFanOut = 4
-	// newsPause is the minimum time between two such messages, so that the requests of one crash share a message.
-	newsPause = 20 * time.Millisecond
+	// newsPause is the minimum time between two such messages, so that the requests of one crash share a message, and newsRetryPause that after the
+	// control budget did not cover one.
+	newsPause      = 20 * time.Millisecond
+	newsRetryPause = 250 * time.Millisecond
 	// newsBytes bounds what a message of news holds, so that it fits in a packet. More news follows in further messages. endBytes, evidenceBytes and
 	// crashBytes are the most that the end of an engine, evidence and each crash in it take.
 	newsBytes     = 1000
@@ -57,12 +59,13 @@
 
 // sendNews sends new evidence and the ends of engines to other instances, until ctx ends.
 func (n *Instance) sendNews(ctx context.Context) error {
-	for pause.For(ctx, newsPause) {
+	for wait := newsPause; pause.For(ctx, wait); {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-n.crashes.Changed():
 		}
+		wait = newsPause
 		shared := news{ends: n.crashes.TakeEnds()}
 		var firstRequests, firstParts []suspects.Evidence
 		shared.requests, firstRequests = n.crashes.Requests.TakeChanged()
@@ -70,7 +73,7 @@
 		for !shared.isEmpty() {
 			some := shared.takeSome()
 			for _, peer := range n.randomLive(newsFanOut) {
-				n.sendNewsTo(peer, some)
+				wait = max(wait, n.sendNewsTo(peer, some))
 			}
 		}
 		byCollector := make(map[string]*news)
@@ -82,16 +85,16 @@
 		}
 		for peer, list := range byCollector {
 			for !list.isEmpty() {
-				n.sendNewsTo(peer, list.takeSome())
+				wait = max(wait, n.sendNewsTo(peer, list.takeSome()))
 			}
 		}
 	}
 	return ctx.Err()
 }
 
-// sendNewsTo sends news to an instance. Evidence on requests, of which a crash may bring much, leaves budget for heartbeats, and is sent later if there is
-// none.
-func (n *Instance) sendNewsTo(peer string, l news) {
+// sendNewsTo sends news to an instance and returns the time until more can be sent. Evidence on requests, of which a crash may bring much, leaves budget
+// for heartbeats, and is sent later if there is none.
+func (n *Instance) sendNewsTo(peer string, l news) time.Duration {
 	requests := l.requests
 	l.requests = nil
 	if !l.isEmpty() {
@@ -100,7 +103,9 @@
 	l = news{requests: requests}
 	if !l.isEmpty() && !n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.Suspects) {
 		n.crashes.Requests.PutBack(requests)
+		return newsRetryPause
 	}
+	return newsPause
 }
 
 // randomLive returns the peer addresses of at most count live instances in random order, or of known ones if none is known to be alive.
