fix(forward): a refusal after the only engine has named a pause tells when to come back

The engine that had just refused was left out as tried, so the caller was told 0.3 s instead of the time that the engine had named. Found by reading.

--- a/request/placing/notice.go
+++ b/request/placing/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -45,8 +44,8 @@
 	}
 }
 
-// UntilAccepted returns the time until an engine of a service that was not tried accepts a request from this instance. It returns false if neither
-// limits nor pauses are what keeps them from it.
+// UntilAccepted returns the time until an engine of a service that names a limit or a pause accepts a request from this instance, tried ones included: the
+// caller may come back. It returns false if no engine is kept from it by these.
 func (t *Table) UntilAccepted(all *engines.List, r Request, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -54,7 +53,7 @@
 	waits := false
 	for _, e := range all.OfService(r.Service) {
 		s := t.engineState(e.Key)
-		if slices.Contains(r.Tried, e.ID) || s.isLeaving() {
+		if s.isLeaving() {
 			continue
 		}
 		paused := max(s.pausedUntil.Sub(now), 0)
--- a/request/suspects/policy.go
+++ b/request/suspects/policy.go
@@ -1,6 +1,11 @@
 package suspects
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
 
 // incidentSpan is the time within which crashes are one incident: all engines may crash at once, with all the requests that they run.
 const incidentSpan = 300 * time.Millisecond
@@ -38,3 +43,93 @@
 func PartPolicy() Policy {
 	return Policy{Unanswered: Proof{Crashes: 3, Incidents: 2}, Answered: Proof{Crashes: 5, Incidents: 3}, ObjectionTime: 300 * time.Millisecond, Joint: true}
 }
+
+// proof returns the proof that is needed against a subject, by whether engines have answered it before.
+func (p Policy) proof(answered bool) Proof {
+	if answered {
+		return p.Answered
+	}
+	return p.Unanswered
+}
+
+// proofAgainst returns the proof that is needed against all subjects of a candidate. One more crash tells most sound requests from a culprit that was at the
+// same engines.
+func (p Policy) proofAgainst(c candidate) Proof {
+	proof := p.proof(c.answered)
+	if len(c.ids) > 1 && !p.Joint {
+		proof.Crashes++
+	}
+	return proof
+}
+
+// culprits returns the culprits that follow from subjects with the same crashes.
+func (p Policy) culprits(ids []ID, refusedFrom time.Time) []foundCulprit {
+	each := 1
+	if p.Joint {
+		ids = ids[:min(len(ids), maxIDsPerCulprit)]
+		each = len(ids)
+	}
+	var list []foundCulprit
+	for part := range slices.Chunk(ids, each) {
+		list = append(list, foundCulprit{ids: slices.Sorted(slices.Values(part)), refusedFrom: refusedFrom})
+	}
+	return list
+}
+
+// provenAt returns when this instance knew enough of the crashes, or false.
+func (p Proof) provenAt(crashes []knownCrash) (time.Time, bool) {
+	if len(crashes) < p.Crashes {
+		return time.Time{}, false
+	}
+	crashes = slices.SortedFunc(slices.Values(crashes), func(a, b knownCrash) int { return a.knownAt.Compare(b.knownAt) })
+	for n := p.Crashes; n <= len(crashes); n++ {
+		if countIncidents(crashes[:n]) >= p.Incidents {
+			return crashes[n-1].knownAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// countIncidents returns the number of incidents to which crashes belong.
+func countIncidents(crashes []knownCrash) int {
+	count := 0
+	var first time.Time
+	for _, c := range slices.SortedFunc(slices.Values(crashes), func(a, b knownCrash) int { return a.At.Compare(b.At) }) {
+		if count == 0 || c.At.Sub(first) >= incidentSpan {
+			count, first = count+1, c.At
+		}
+	}
+	return count
+}
+
+// worst returns the subjects with the most unexplained crashes, all the same ones, and these crashes. Subjects that no engine has answered come
+// first.
+func (p Policy) worst(candidates []candidate, explained map[engines.Key]bool) (candidate, []knownCrash) {
+	var best candidate
+	var most []knownCrash
+	for _, c := range candidates {
+		crashes := slices.DeleteFunc(slices.Clone(c.crashes), func(k knownCrash) bool { return explained[k.Engine] })
+		_, proven := p.proof(c.answered).provenAt(crashes)
+		switch {
+		case !proven:
+		case len(best.ids) == 0 || (best.answered && !c.answered) || (best.answered == c.answered && len(crashes) > len(most)):
+			best, most = candidate{ids: slices.Clone(c.ids), answered: c.answered}, crashes
+		case best.answered == c.answered && sameEngines(crashes, most):
+			best.ids = append(best.ids, c.ids...)
+		}
+	}
+	return best, most
+}
+
+// sameEngines reports whether two lists hold crashes of the same engines.
+func sameEngines(a, b []knownCrash) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, c := range a {
+		if !slices.ContainsFunc(b, func(other knownCrash) bool { return other.Engine == c.Engine }) {
+			return false
+		}
+	}
+	return true
+}
