--- a/request/placing/notice_test.go
+++ b/request/placing/notice_test.go
@@ -80,7 +80,7 @@
 			n := notice
 			n.Load = &Report{}
 			if i < 2 {
-				n = Notice{Load: &Report{Running: []int{40, 12}[i]}}
+				n = Notice{Load: &Report{Running: []int{60, 12}[i]}}
 			}
 			table.RecordNotice(e.Key, n, start)
 		}
