fix(suspects): a request stays refused although others crash the same engines

Other culprits no longer refute a stored whole request, of which one instance may know a part of the crashes only, and a request is refused from one more crash on whatever explains the others. Requests that crash two engines in one exchange are no longer stored before they come again, as they were since the check came before the one for further attempts.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -120,7 +120,7 @@
 	for {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !x.mayContinue(now) {
 			break
 		}
 		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
@@ -133,9 +133,6 @@
 			x.Metrics.Add("suspectsRefused", 1)
 			break
 		}
-		if !x.mayContinue(now) {
-			break
-		}
 		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried}
 		if x.sends > 0 && x.Table.HasUntried(x.snapshot.Engines, request, now) && !x.takeRetry(now) {
 			break
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -691,6 +691,10 @@
 		if resp, _, err := f.send(t, nil); err != nil || resp.StatusCode != want {
 			t.Fatalf("send %d: %v, %v", i, resp, err)
 		}
+		// It is stored only if it comes again.
+		if due := f.handler.Crashes.Requests.Due(time.Minute, time.Now()); len(due) != min(i, 1) {
+			t.Errorf("after send %d due are %v", i, due)
+		}
 	}
 	if n := f.runs.Load(); n != suspects.MaxEngines {
 		t.Fatalf("%d engines crashed", n)
--- a/request/suspects/crashes_test.go
+++ b/request/suspects/crashes_test.go
@@ -105,6 +105,12 @@
 			f.crash(guilty, sound)
 			f.crash(guilty)
 		}, []bool{true, false}},
+		{"another one crashes the same engines and one more", func(f *fleet) {
+			for range 3 {
+				f.crash(guilty, []string{"other"})
+			}
+			f.crash([]string{"other"})
+		}, []bool{true, false}},
 		{"a sound request that was answered, at all engines", func(f *fleet) {
 			f.answer(1, "sound")
 			f.crashAtOnce(3, guilty, sound)
@@ -214,3 +220,17 @@
 		t.Errorf("due are %v after it was refused", due)
 	}
 }
+
+// TestStoredRequestIsNotClearedByPartialEvidence guards against an instance that clears a request which crashes engines, since it knows of more crashes
+// under a sound one.
+func TestStoredRequestIsNotClearedByPartialEvidence(t *testing.T) {
+	f := newFleetOf(1, RequestPolicy())
+	guilty, sound := []string{"guilty"}, []string{"sound"}
+	f.crash(guilty, sound)
+	f.crash(guilty, sound)
+	f.crash(sound)
+	f.instances[0].SetStored(ids(guilty), f.now)
+	if due := f.instances[0].Due(time.Minute, f.now); len(due) > 0 || !f.instances[0].Refuses(ids(guilty), f.now) {
+		t.Errorf("the stored request is not refused, or due are %v", due)
+	}
+}
--- a/request/suspects/culprits.go
+++ b/request/suspects/culprits.go
@@ -196,9 +196,10 @@
 	}
 }
 
-// isRefuted reports whether engines have answered all subjects of a stored culprit since, or other culprits explain its crashes.
+// isRefuted reports whether engines have answered all subjects of a stored culprit since, or, of a joint one, other culprits explain its crashes. The
+// evidence of one instance is not enough for that against a whole request, of which it may know a few crashes only.
 func (t *Tracker) isRefuted(c storedCulprit) bool {
-	answered, explained := true, true
+	answered, explained := true, t.policy.Joint
 	for _, id := range c.ids {
 		s, ok := t.suspects.Peek(id)
 		at, _ := t.answered.Peek(id)
@@ -230,7 +231,7 @@
 	for {
 		best, crashes := t.policy.worst(candidates, considered)
 		if len(best.ids) == 0 {
-			return
+			break
 		}
 		for _, c := range crashes {
 			considered[c.Engine] = true
@@ -245,6 +246,28 @@
 			t.explained[c.Engine] = true
 		}
 	}
+	t.addUnexcused(candidates)
+}
+
+// addUnexcused adds the whole requests that no other culprit excuses, since they are at one more crashed engine than is proof: several requests may crash
+// engines at the same time.
+func (t *Tracker) addUnexcused(candidates []candidate) {
+	if t.policy.Joint {
+		return
+	}
+	for _, c := range candidates {
+		proof := t.policy.proof(c.answered)
+		proof.Crashes++
+		knownAt, proven := proof.provenAt(c.crashes)
+		if !proven {
+			continue
+		}
+		for _, f := range t.policy.culprits(c.ids, knownAt.Add(t.policy.ObjectionTime)) {
+			if !slices.ContainsFunc(t.found, func(found foundCulprit) bool { return slices.Equal(found.ids, f.ids) }) {
+				t.found = append(t.found, f)
+			}
+		}
+	}
 }
 
 // candidates returns the subjects on which enough engines have crashed since the last answer, by these engines.
--- a/request/suspects/policy.go
+++ b/request/suspects/policy.go
@@ -21,7 +21,7 @@
 	// Policy says which evidence makes the subjects of one kind culprits.
 	Policy struct {
 		// Unanswered is the proof against a subject that no engine has ever answered, and Answered that against one that engines have answered
-		// before, from the crashes since the last answer.
+		// before, from the crashes since the last answer. Against a subject that is not Joint, one more crash is proof whatever explains the others.
 		Unanswered, Answered Proof
 		// ObjectionTime is how long a culprit is not refused after enough crashes became known, so that instances that have answers on it can say so.
 		ObjectionTime time.Duration
