--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -98,6 +98,8 @@
 		reason string
 		// verdict says why the request was not sent to another engine.
 		verdict string
+		// leftOut counts the engines that were not chosen if none is left.
+		leftOut placing.LeftOut
 	}
 
 	// bufferedAnswer is a complete answer of an engine, held in memory.
@@ -139,7 +141,7 @@
 		}
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
-			x.verdict = "no engine is left"
+			x.verdict, x.leftOut = "no engine is left", x.Table.CountLeftOut(x.snapshot.Engines, request, now)
 			if wait, waits := x.Table.UntilAccepted(x.snapshot.Engines, request, now); waits {
 				x.acceptedIn, x.verdict = wait, "the engines are at their limits or take no requests for now"
 				x.Metrics.Add("limitsRefused", 1)
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -108,6 +108,14 @@
 	to.AddDuration("tookMs", took)
 	to.AddString("reason", x.reason)
 	to.AddString("verdict", x.verdict)
+	if n := x.leftOut; n.Registered > 0 {
+		to.AddInt("enginesRegistered", n.Registered)
+		to.AddInt("enginesTried", n.Tried)
+		to.AddInt("enginesLeaving", n.Leaving)
+		to.AddInt("enginesPaused", n.Paused)
+		to.AddInt("enginesLimited", n.Limited)
+		to.AddInt("enginesInBackoff", n.Backoff)
+	}
 }
 
 // logFailed logs and counts an attempt without a successful answer.
--- a/request/placing/notice.go
+++ b/request/placing/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -72,6 +73,35 @@
 	return shortest, waits
 }
 
+// LeftOut counts the engines of a service that are not chosen for a request, by the first reason that applies.
+type LeftOut struct {
+	// Registered counts all engines of the service that are not draining, and the other fields some of them.
+	Registered, Tried, Leaving, Paused, Limited, Backoff int
+}
+
+// CountLeftOut counts the engines that are not chosen for a request. Those in back-off are chosen last.
+func (t *Table) CountLeftOut(all *engines.List, r Request, now time.Time) LeftOut {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var n LeftOut
+	for _, e := range all.OfService(r.Service) {
+		n.Registered++
+		switch s := t.engineState(e.Key); {
+		case slices.Contains(r.Tried, e.ID):
+			n.Tried++
+		case s.isLeaving():
+			n.Leaving++
+		case !s.accepts(now):
+			n.Paused++
+		case t.roomAt(e.Key, s, now) == noRoom:
+			n.Limited++
+		case now.Before(s.backoffUntil):
+			n.Backoff++
+		}
+	}
+	return n
+}
+
 // IsLeaving reports whether an engine has said that it is about to stop.
 func (t *Table) IsLeaving(k engines.Key) bool {
 	t.mu.Lock()
