--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -36,6 +36,8 @@
 	keyHeader  = "Bearer "
 	oneKey     = "key-one"
 	otherKey   = "key-two"
+	// lightKey is the key of an organisation of its own.
+	lightKey   = "key-light"
 	configKey  = "configuration"
 	// invalidValue is an entry that cannot be decoded.
 	invalidValue = "{"
@@ -48,6 +50,11 @@
 	// manyPath is the path of a route whose requests two engines may run, the second one if the first has not answered in a share of manyTarget.
 	manyPath   = "/many/"
 	manyTarget = 200 * time.Millisecond
+	// busyPath and quietPath are the paths of two routes to non-idempotent work with a target time.
+	busyPath  = "/busy/"
+	quietPath = "/quiet/"
+	// slotsPrefix begins the ids of engines that register overloadSlots slots.
+	slotsPrefix = "slots-"
 )
 
 type (
@@ -101,7 +108,12 @@
 	}
 	many := route
 	many.Name, many.PathPrefix, many.Kind, many.MaxEngines, many.TargetFirstByte = "many", manyPath, routing.Idempotent, 2, manyTarget
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many}, []routing.Organisation{{Name: "museum", Keys: c.Keys}}), nil
+	busy := route
+	busy.Name, busy.PathPrefix, busy.CachesPrompts, busy.TargetFirstByte = "busy", busyPath, false, overloadTarget
+	quiet := busy
+	quiet.Name, quiet.PathPrefix = "quiet", quietPath
+	organisations := []routing.Organisation{{Name: "museum", Keys: c.Keys}, {Name: "light", Keys: []string{lightKey}}}
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet}, organisations), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
@@ -109,7 +121,11 @@
 		return engines.Engine{}, errors.New("broken")
 	}
 	address, draining := strings.CutPrefix(string(value), drainingPrefix)
-	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Draining: draining}, nil
+	slots := 0
+	if strings.HasPrefix(key, "engines/"+slotsPrefix) {
+		slots = overloadSlots
+	}
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Slots: slots, Draining: draining}, nil
 }
 
 func newFleet(t *testing.T, size int) *fleet {
