--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -81,8 +82,18 @@
 		Crashes *suspects.Crashes
 		Metrics *metrics.Registry
 		Log     *zap.Logger
-		// Closing reports whether the instance is shutting down. Answers then close the caller's connection.
-		Closing func() bool
+		// Stop returns how the instance is stopping, or the zero value.
+		Stop func() Stop
+		// Ending ends when requests in progress have to end, because the instance is about to cut its connections.
+		Ending context.Context
+	}
+
+	// Stop says how an instance is stopping.
+	Stop struct {
+		// Closing says that answers close the caller's connection.
+		Closing bool
+		// LastAnswerAt is set once callers should know other instances. A request that may take longer is then left to these.
+		LastAnswerAt time.Time
 	}
 
 	// Handler is the HTTP handler for callers' requests.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -119,6 +119,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(deadlineGrace))
 	defer cancel()
+	defer context.AfterFunc(x.Ending, cancel)()
 	for {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
@@ -396,6 +397,8 @@
 		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
 		refused.status, refused.reason = http.StatusGatewayTimeout, "the time allowed has passed"
+	case x.Ending.Err() != nil:
+		refused.reason = reasonStopping
 	}
 	x.logEnd(outcomeRefused, refused.status)
 	x.refuse(x.w, x.r, refused)
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -90,7 +90,7 @@
 		Snapshot: func() Snapshot {
 			return Snapshot{Configuration: configuration, Engines: f.engines.Load(), ConfirmedAge: time.Duration(f.confirmedAge.Load()), Instances: 3}
 		},
-		Closing: func() bool { return false },
+		Stop: func() Stop { return Stop{} }, Ending: context.Background(),
 	})
 	f.front = httptest.NewServer(f.handler)
 	t.Cleanup(f.front.Close)
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -29,6 +29,7 @@
 	// defaultTimeout is the time-out of a route that sets none. The caller may state a shorter one.
 	defaultTimeout = 30 * time.Second
 	bearerPrefix   = "Bearer "
+	reasonStopping = "the instance is stopping"
 )
 
 // refusal is an error response that the instance itself gives.
@@ -41,7 +42,7 @@
 // ServeHTTP admits a request and sends it to an engine, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if h.Closing() {
+	if h.Stop().Closing {
 		w.Header().Set("Connection", "close")
 	}
 	snapshot := h.Snapshot()
@@ -49,8 +50,12 @@
 	if refused == nil {
 		var body []byte
 		if body, refused = readBody(w, r, snapshot.Configuration.Limits); refused == nil {
-			h.newExchange(w, r, route, org, body, arrived).run()
-			return
+			x := h.newExchange(w, r, route, org, body, arrived)
+			if last := h.Stop().LastAnswerAt; last.IsZero() || x.deadline.Before(last) {
+				x.run()
+				return
+			}
+			refused = &refusal{http.StatusServiceUnavailable, reasonStopping, retryAfterOtherInstance}
 		}
 	}
 	h.Metrics.Add(outcomeRefused, 1)
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -37,8 +37,8 @@
 	oneKey     = "key-one"
 	otherKey   = "key-two"
 	// lightKey is the key of an organisation of its own.
-	lightKey   = "key-light"
-	configKey  = "configuration"
+	lightKey  = "key-light"
+	configKey = "configuration"
 	// invalidValue is an entry that cannot be decoded.
 	invalidValue = "{"
 	// drainingPrefix marks the address of an engine that takes no new requests.
@@ -53,6 +53,8 @@
 	// busyPath and quietPath are the paths of two routes to non-idempotent work with a target time.
 	busyPath  = "/busy/"
 	quietPath = "/quiet/"
+	// patientPath is the path of a route to non-idempotent work with a long time-out.
+	patientPath = "/patient/"
 	// slotsPrefix begins the ids of engines that register overloadSlots slots.
 	slotsPrefix = "slots-"
 )
@@ -112,8 +114,10 @@
 	busy.Name, busy.PathPrefix, busy.CachesPrompts, busy.TargetFirstByte = "busy", busyPath, false, overloadTarget
 	quiet := busy
 	quiet.Name, quiet.PathPrefix = "quiet", quietPath
+	patient := quiet
+	patient.Name, patient.PathPrefix, patient.Timeout, patient.TargetFirstByte = "patient", patientPath, time.Minute, 0
 	organisations := []routing.Organisation{{Name: "museum", Keys: c.Keys}, {Name: "light", Keys: []string{lightKey}}}
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet}, organisations), nil
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet, patient}, organisations), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -123,7 +123,10 @@
 		controlBudget *budget.Budget
 		metrics       *metrics.Registry
 		crashes       *suspects.Crashes
-		stopping      atomic.Bool
+		stop          atomic.Pointer[forward.Stop]
+		// ending ends when requests in progress have to end.
+		ending context.Context
+		end    context.CancelFunc
 		// storeUnreachable says that the last read of the store failed.
 		storeUnreachable atomic.Bool
 		// aheadPeers queues peers whose replicas are ahead of this one.
@@ -178,6 +181,8 @@
 		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
 	}
 	n.settings.Store(&s)
+	n.stop.Store(&forward.Stop{})
+	n.ending, n.end = context.WithCancel(context.Background())
 	n.snapshot.Store(&snapshot{engines: engines.NewList(nil)})
 	return n, nil
 }
@@ -188,6 +193,7 @@
 	s := n.settings.Load()
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer n.end()
 	group, groupCtx := errgroup.WithContext(serveCtx)
 	conns := idle.New(n.idleLimit)
 	callers := &http.Server{
@@ -258,7 +264,7 @@
 	}
 	return forward.New(forward.Dependencies{
 		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
-		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Metrics: n.metrics, Log: n.log, Closing: n.stopping.Load,
+		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
 	})
 }
 
@@ -271,15 +277,19 @@
 }
 
 // shutDown announces the stop, which removes this instance from the address lists. It keeps serving while callers may still use an old
-// list, and then finishes the requests in progress.
+// list, and then finishes the requests in progress. A request that arrives later is served if it can be finished in time.
 func (n *Instance) shutDown(ctx context.Context, conns *idle.Conns) {
 	s := n.settings.Load()
 	n.log.Info("stopping")
-	n.stopping.Store(true)
+	n.stop.Store(&forward.Stop{Closing: true})
 	n.announce(boottime.Now())
-	ctx, cancel := context.WithTimeout(ctx, s.Bounds.Shutdown.Std()-shutdownMargin)
+	cutAfter := s.Bounds.Shutdown.Std() - shutdownMargin
+	ctx, cancel := context.WithTimeout(ctx, cutAfter)
 	defer cancel()
+	lastAnswerAt := time.Now().Add(cutAfter - lastAnswerMargin)
+	defer time.AfterFunc(time.Until(lastAnswerAt), n.end).Stop()
 	pause.For(ctx, lingerValidities*min(addressValidity, s.Bounds.MaxAddressValidity.Std()))
+	n.stop.Store(&forward.Stop{Closing: true, LastAnswerAt: lastAnswerAt})
 	if err := conns.Stop(ctx); err != nil {
 		n.log.Warn("requests in progress were cut off at shutdown", zap.Error(err))
 	}
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -20,8 +20,10 @@
 	defaultKeyAge = 30 * time.Second
 	// defaultInForce applies if the platform sets no bound for a change to be in force; it is the users' bound for a large fleet.
 	defaultInForce = 5 * time.Second
-	// shutdownMargin is subtracted from the time that the platform gives a process to stop.
-	shutdownMargin = 700 * time.Millisecond
+	// shutdownMargin is subtracted from the time that the platform gives a process to stop. Requests that are in progress lastAnswerMargin earlier are
+	// ended with an answer.
+	shutdownMargin   = 700 * time.Millisecond
+	lastAnswerMargin = 300 * time.Millisecond
 	// loadBoundShare is the share of the allowed load factor that placement uses. The rest is left free because the load counts are slightly
 	// out of date.
 	loadBoundShare = 0.75
--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -135,7 +135,7 @@
 // state returns Stopping after the stop has begun, and Starting while there is no configuration recent enough to accept keys.
 func (n *Instance) state() members.State {
 	switch {
-	case n.stopping.Load():
+	case n.stop.Load().Closing:
 		return members.Stopping
 	case n.snapshot.Load().configuration == nil || n.replicaAge(boottime.Now()) > n.settings.Load().maxKeyAge():
 		return members.Starting
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -104,7 +104,7 @@
 	if age == heartbeat.Unconfirmed {
 		return !r.listed || readers.ReadsAtStart(n.self, r.peers, now.Sub(r.began), checkPeriod, len(alive)+1, rand.Float64())
 	}
-	if n.stopping.Load() {
+	if n.stop.Load().Closing {
 		return false
 	}
 	all := n.candidates(alive)
@@ -313,7 +313,7 @@
 			n.log.Debug("instance not registered in the store", zap.Error(err))
 			wait = maxRetryDelay
 		}
-		if !pause.For(ctx, wait) || n.stopping.Load() {
+		if !pause.For(ctx, wait) || n.stop.Load().Closing {
 			break
 		}
 	}
