--- /dev/null
+++ b/request/decay/doc.go
@@ -0,0 +1,2 @@
+// Package decay counts events with exponentially decaying weight.
+package decay
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/decay"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
@@ -86,7 +87,7 @@
 		remote  map[string]remoteLoads
 		parts   *simplelru.LRU[PartID, *partState]
 		// requests counts the requests for parts, by this instance and by those that have sent theirs.
-		requests decayingCount
+		requests decay.Count
 		// recent are the holders that this instance has recorded from its own requests, oldest first.
 		recent []Holder
 		// newSurges are the subjects whose surges have started and were not sent to other instances yet.
@@ -131,7 +132,7 @@
 	partState struct {
 		// holders are the engines that last read it, in the order in which this became known, latest first.
 		holders  []Holder
-		requests decayingCount
+		requests decay.Count
 		surge    surge
 	}
 
@@ -171,6 +172,19 @@
 	return parts
 }
 
+// Slots returns the number of requests that the engines of a service run at the same time, without those that take none now.
+func (t *Table) Slots(all *engines.List, service ident.Service, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slots := 0
+	for _, e := range all.OfService(service) {
+		if s := t.engineState(e.Key); s.accepts(now) && !now.Before(s.backoffUntil) {
+			slots += e.Slots
+		}
+	}
+	return slots
+}
+
 // LocalLoads returns the number of requests of this instance at each engine that does not report its load.
 func (t *Table) LocalLoads(now time.Time) map[engines.Key]int {
 	t.mu.Lock()
@@ -367,9 +381,9 @@
 
 // countRequest counts a request for a part.
 func (t *Table) countRequest(h Holder) {
-	t.requests.add(h.At)
+	t.requests.Add(1, h.At)
 	if known, ok := t.parts.Peek(h.Part); ok {
-		known.requests.add(h.At)
+		known.requests.Add(1, h.At)
 	}
 }
 
