--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -27,6 +27,9 @@
 	// Version is the operators' number of a configuration; a higher one is newer.
 	Version int64
 
+	// Priority is the rank of a request; 0 is the most urgent.
+	Priority uint8
+
 	// Backend is one service of a route. Weight is its share of the requests, relative to the other backends.
 	Backend struct {
 		Service ident.Service
@@ -41,6 +44,8 @@
 		Kind       Kind
 		// Timeout is the longest time that a caller may wait for the answer.
 		Timeout time.Duration
+		// Priority is the priority of the route's requests, unless their organisation has one.
+		Priority Priority
 		// TargetFirstByte is the target for the time to the first event, or to the whole answer of a plain request; 0 means no target.
 		TargetFirstByte time.Duration
 		// TargetEventGap is the target for the longest pause between two events of a stream; 0 means no target.
@@ -60,6 +65,8 @@
 	Organisation struct {
 		Name ident.Organisation
 		Keys []string
+		// Priority is the priority of its requests, or nil if that of their routes applies.
+		Priority *Priority
 	}
 
 	// Limits bound the body of a request, and how long a caller's connection may be idle; zero means no bound.
@@ -75,6 +82,8 @@
 		// byHost holds the routes of each lower-case host, longest prefix first.
 		byHost    map[string][]Route
 		keyOwners map[[sha256.Size]byte]ident.Organisation
+		// priorities holds the priorities of the organisations that have one.
+		priorities map[ident.Organisation]Priority
 	}
 )
 
@@ -83,6 +92,7 @@
 	c := &Configuration{
 		Version: v, Limits: limits,
 		byHost: make(map[string][]Route), keyOwners: make(map[[sha256.Size]byte]ident.Organisation),
+		priorities: make(map[ident.Organisation]Priority),
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -95,6 +105,9 @@
 		for _, key := range o.Keys {
 			c.keyOwners[sha256.Sum256([]byte(key))] = o.Name
 		}
+		if o.Priority != nil {
+			c.priorities[o.Name] = *o.Priority
+		}
 	}
 	return c
 }
@@ -134,6 +147,14 @@
 	return org, ok
 }
 
+// Priority returns the priority of an organisation's requests on a route.
+func (c *Configuration) Priority(r *Route, org ident.Organisation) Priority {
+	if p, ok := c.priorities[org]; ok {
+		return p
+	}
+	return r.Priority
+}
+
 // Retryable reports whether requests of the route may run more than once.
 func (r *Route) Retryable() bool {
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
