--- a/process/entry/evidence_test.go
+++ b/process/entry/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,6 +12,11 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
+// wideMessage is a heartbeat whose fields are as large as they may become.
+var wideMessage = heartbeat.Message{
+	PeerAddress: "10.100.100.40:8229", CallerAddress: "10.100.100.40:8227", Domain: "a-long-failure-domain", Incarnation: 1 << 60, Revision: 1 << 40, ConfirmedAge: time.Hour,
+}
+
 // manyNews returns news of as many requests, parts and ends, with the largest ids.
 func manyNews(count, crashes int, now time.Time) news {
 	var l news
@@ -28,7 +34,6 @@
 // TestNewsFitsInPacketsWithoutLoss guards against news that is cut off at a number, or sent in datagrams that links drop.
 func TestNewsFitsInPacketsWithoutLoss(t *testing.T) {
 	now := time.Now()
-	base := heartbeat.Message{PeerAddress: "10.100.100.40:8229", CallerAddress: "10.100.100.40:8227", Domain: "a-long-failure-domain", Incarnation: 1 << 60, Revision: 1 << 40, ConfirmedAge: time.Hour}
 	for _, crashes := range []int{1, 2, 8} {
 		t.Run(fmt.Sprint(crashes, " crashes each"), func(t *testing.T) {
 			const count = 100
@@ -36,7 +41,7 @@
 			requests, parts, ends := 0, 0, 0
 			for !list.isEmpty() {
 				some := list.takeSome()
-				m := base
+				m := wideMessage
 				m.Requests, m.Parts, m.Ends = encodeEvidence(some.requests, now), encodeEvidence(some.parts, now), encodeEnds(some.ends, now)
 				if n := len(heartbeat.Encode(m)); n > heartbeat.MaxDatagramBytes {
 					t.Fatalf("a message has %d bytes", n)
@@ -64,3 +69,42 @@
 		t.Error("the budget does not cover a heartbeat")
 	}
 }
+
+// TestAnnouncementsLeaveBudgetForHeartbeats guards against instances that hear nothing of each other while engines come and go in quick succession.
+func TestAnnouncementsLeaveBudgetForHeartbeats(t *testing.T) {
+	const (
+		changesPerSecond = 3
+		span             = 15 * time.Second
+		step             = heartbeatPeriod / 4
+	)
+	now := time.Now()
+	spent := budget.New(now)
+	observations := make([]heartbeat.Observation, observationsPerMessage)
+	for i := range observations {
+		observations[i] = heartbeat.Observation{IP: netip.AddrFrom4([4]byte{10, 100, 100, byte(i)}), Age: time.Second}
+	}
+	ack := wideMessage
+	ack.Observations = heartbeat.PackObservations(observations)
+	sent, refused, announced := 0, 0, 0
+	for at := time.Duration(0); at < span; at += step {
+		for ; float64(announced) < at.Seconds()*changesPerSecond; announced++ {
+			for range announceFanOut {
+				spent.Spend(budget.Urgent, len(heartbeat.Encode(wideMessage)), now.Add(at))
+			}
+		}
+		// An instance answers as many pings as it sends.
+		if at%heartbeatPeriod == 0 {
+			for range heartbeatFanOut {
+				for _, m := range []heartbeat.Message{wideMessage, ack} {
+					sent++
+					if !spent.Spend(budget.Membership, len(heartbeat.Encode(m)), now.Add(at)) {
+						refused++
+					}
+				}
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("the budget does not cover %d of %d heartbeats", refused, sent)
+	}
+}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -21,8 +21,9 @@
 	heartbeatPeriod = 250 * time.Millisecond
 	// heartbeatFanOut is the number of instances pinged in a round.
 	heartbeatFanOut = 2
-	// announceFanOut is the number of instances to which a change is announced at once.
-	announceFanOut = 16
+	// announceFanOut is the number of instances to which a change is announced at once. Each announces it again, so that all but a few know it after a
+	// few steps, and these learn of it from heartbeats. Changes in quick succession must leave the control budget to heartbeats.
+	announceFanOut = 6
 	// announcePause is the minimum time between two announcements; changes in between go out with the next pings.
 	announcePause = 100 * time.Millisecond
 	// surgeFanOut is the number of instances to which a surge is sent at once. Each receiver sends it on, once.
