--- a/connection/forward/cut_head_test.go
+++ b/connection/forward/cut_head_test.go
@@ -37,7 +37,7 @@
 			whole := head("r1", tt.framing) + tt.body
 			var served atomic.Int64
 			f := newFixture(t, routing.Route{Kind: tt.kind, MaxEngines: 1, TargetFirstByte: time.Second}, func(_ int, w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := w.(http.Hijacker).Hijack()
+				conn, _, err := http.NewResponseController(w).Hijack()
 				if err != nil {
 					t.Error(err)
 					return
