--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/metrics"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
@@ -80,8 +81,10 @@
 		Client   *upstream.Client
 		// Crashes holds the evidence of the fleet on the requests and parts of prompts on which engines crash.
 		Crashes *suspects.Crashes
-		Metrics *metrics.Registry
-		Log     *zap.Logger
+		// Admission decides which requests to plain services are offered to engines.
+		Admission *admission.Controller
+		Metrics   *metrics.Registry
+		Log       *zap.Logger
 		// Stop returns how the instance is stopping, or the zero value.
 		Stop func() Stop
 		// Ending ends when requests in progress have to end, because the instance is about to cut its connections.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -83,7 +84,7 @@
 		crashesEngines bool
 		// answeringSince is when the first event of the current attempt arrived, or zero.
 		answeringSince time.Time
-		// acceptedIn is the time until an engine accepts the request, if limits or pauses that engines name are why it is refused.
+		// acceptedIn is the time until an engine accepts the request, if limits or pauses that engines name, or too many requests, are why it is refused.
 		acceptedIn time.Duration
 		// retryReserved says that the retry was already taken from the budget when the last attempt was abandoned.
 		retryReserved atomic.Bool
@@ -140,6 +141,9 @@
 		if x.sends > 0 && x.Table.HasUntried(x.snapshot.Engines, request, now) && !x.takeRetry(now) {
 			break
 		}
+		if len(x.tried) == 0 && !x.admitted(request, now) {
+			break
+		}
 		choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, request, now)
 		if !ok {
 			x.verdict, x.leftOut = "no engine is left", x.Table.CountLeftOut(x.snapshot.Engines, request, now)
@@ -152,6 +156,7 @@
 		x.recordPlacement(choice, now)
 		result := x.attempt(ctx, choice, inFlight, now)
 		inFlight.End()
+		x.countCompleted(result)
 		if result == resultAnswered {
 			return
 		}
@@ -161,6 +166,35 @@
 	x.giveUp(ctx)
 }
 
+// admitted counts a request to a plain service and reports whether it is offered to engines. It sets verdict if not. Streams are admitted: their engines
+// run many requests together, so a request's time is not the time that it waits.
+func (x *exchange) admitted(r placing.Request, now time.Time) bool {
+	if x.route.Kind == routing.Stream {
+		return true
+	}
+	priority := x.snapshot.Configuration.Priority(x.route, x.org)
+	decision := x.Admission.Admit(admission.Request{
+		Service: x.service, Route: admission.NewClass(x.route.Name, priority), Organisation: admission.NewClass(x.org, priority),
+		Target: x.route.TargetFirstByte, Slots: x.Table.Slots(x.snapshot.Engines, r.Service, now), Instances: x.snapshot.Instances,
+	}, now)
+	if decision.Admitted {
+		return true
+	}
+	x.acceptedIn, x.verdict = decision.RetryAfter, "the service has more requests than it can answer in time"
+	x.reason = "admitted with a probability of " + strconv.FormatFloat(decision.Probability, 'f', 2, 64) + ", answers take " + decision.ExpectedTime.String()
+	x.Metrics.Add("overloadRefused", 1)
+	return false
+}
+
+// countCompleted counts an attempt that its engine has completed, also if the answer was lost. One that was abandoned or whose caller has left may not have
+// run to its end.
+func (x *exchange) countCompleted(r result) {
+	if r != resultNotRun && x.route.Kind != routing.Stream && !x.retryReserved.Load() && x.r.Context().Err() == nil {
+		now := time.Now()
+		x.Admission.Answered(x.service, now.Sub(x.placement.at), now)
+	}
+}
+
 // mayContinue reports whether another attempt is allowed, apart from the budget. It sets verdict if not.
 func (x *exchange) mayContinue(now time.Time) bool {
 	if x.sends == 0 {
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -21,6 +21,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/metrics"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
@@ -86,7 +87,7 @@
 	f.engines.Store(engines.NewList(all))
 	f.handler = New(Dependencies{
 		Names: testNames, Limits: func() AgeLimits { return AgeLimits{MaxKeyAge: 4 * time.Second, MaxDenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
-		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewRegistry(), Crashes: suspects.NewCrashes(), Log: zap.NewNop(),
+		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewRegistry(), Crashes: suspects.NewCrashes(), Admission: admission.New(), Log: zap.NewNop(),
 		Snapshot: func() Snapshot {
 			return Snapshot{Configuration: configuration, Engines: f.engines.Load(), ConfirmedAge: time.Duration(f.confirmedAge.Load()), Instances: 3}
 		},
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -13,11 +13,13 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
+	"github.com/vanillaroute/vanillaroute/version/routing"
 	"github.com/vanillaroute/vanillaroute/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -83,9 +85,11 @@
 		Ends []EngineEnd `msgpack:"-"`
 		// Limits holds what engines have said about their limits. It is sent in an extension.
 		Limits []Limit `msgpack:"-"`
+		// Demands is what the sender sees of plain services. It is sent in an extension of pings.
+		Demands []Demand `msgpack:"-"`
 	}
 
-	// surgeExtension, partExtension, limitExtension and crashExtension follow the message in a datagram, in this order. An instance of an earlier
+	// surgeExtension, partExtension, limitExtension, crashExtension and demandExtension follow the message in a datagram, in this order. An instance of an earlier
 	// version ignores those that it does not know, whereas it rejects a Message with another number of fields.
 	surgeExtension struct {
 		Surges []placing.PartID
@@ -104,6 +108,29 @@
 		Ends     []EngineEnd
 	}
 
+	demandExtension struct {
+		Demands []Demand
+	}
+
+	// Demand is admission.Demand in a message.
+	Demand struct {
+		Service           admission.ServiceID
+		Arrivals, Answers Hundredths
+		AnswerTime        Millis
+		// Routes and Organisations hold the arrivals by class.
+		Routes, Organisations []ClassDemand
+	}
+
+	// ClassDemand is admission.ClassDemand in a message.
+	ClassDemand struct {
+		ID       admission.ClassID
+		Priority routing.Priority
+		Arrivals Hundredths
+	}
+
+	// Hundredths is a count in hundredths. It takes at most three bytes of a message up to 655.35.
+	Hundredths uint32
+
 	// Limit is what an engine takes from all instances together, 0 for no limit, and the time since it said so.
 	Limit struct {
 		Engine engines.Key
@@ -212,6 +239,7 @@
 		{partExtension{Parts: m.Parts}, len(m.Parts) == 0},
 		{limitExtension{Limits: m.Limits}, len(m.Limits) == 0},
 		{crashExtension{Requests: m.Requests, Ends: m.Ends}, len(m.Requests)+len(m.Ends) == 0},
+		{demandExtension{Demands: m.Demands}, len(m.Demands) == 0},
 	}
 	for len(extensions) > 0 && extensions[len(extensions)-1].empty {
 		extensions = extensions[:len(extensions)-1]
@@ -232,6 +260,7 @@
 		func() error {
 			return decodeExtension(&rest, func(e crashExtension) { m.Requests, m.Ends = e.Requests, e.Ends })
 		},
+		func() error { return decodeExtension(&rest, func(e demandExtension) { m.Demands = e.Demands }) },
 	}
 	for _, decode := range decoders {
 		if err != nil || len(rest) == 0 {
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"github.com/vanillaroute/vanillaroute/wire"
@@ -121,11 +123,18 @@
 // reject during an upgrade.
 func TestExtensionIsIgnoredByEarlierVersions(t *testing.T) {
 	limits := []Limit{{Engine: 3, Rate: 2.5, Age: 40}}
-	body := Encode(Message{PeerAddress: "127.0.0.1:1", Surges: []placing.PartID{7, 9}, Limits: limits})
+	demands := []admission.Demand{{
+		Service: 5, Arrivals: 4.25, Answers: 2, AnswerTime: 30 * time.Millisecond,
+		Routes:        []admission.ClassDemand{{Class: admission.NewClass("route", 2), Arrivals: 4}},
+		Organisations: []admission.ClassDemand{{Class: admission.NewClass("organisation", 2), Arrivals: 1.5}},
+	}}
+	body := Encode(Message{PeerAddress: "127.0.0.1:1", Surges: []placing.PartID{7, 9}, Limits: limits, Demands: EncodeDemands(demands)})
 	if m, err := wire.Decode[Message](body); err != nil || m.PeerAddress != "127.0.0.1:1" {
 		t.Errorf("the message alone is %+v, %v", m, err)
 	}
 	if m, err := Decode(body); err != nil || !slices.Equal(m.Surges, []placing.PartID{7, 9}) || !slices.Equal(m.Limits, limits) {
 		t.Errorf("the surges are %v, the limits %v, %v", m.Surges, m.Limits, err)
+	} else if got := DecodeDemands(m.Demands); !reflect.DeepEqual(got, demands) {
+		t.Errorf("the demands are %+v", got)
 	}
 }
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -20,6 +20,8 @@
 	Membership
 	// Suspects is evidence on requests that may crash engines. A crash may bring much of it.
 	Suspects
+	// Demands is the routes and organisations of services that have too many requests.
+	Demands
 	// ModelLoads is the part of heartbeats that is left out first, such as loads.
 	ModelLoads
 	// AllowanceShares is requests for shares of an allowance and notices of overflowed chats.
@@ -49,7 +51,7 @@
 )
 
 // reserves holds the share of the burst that each kind must leave to the other kinds.
-var reserves = [kindCount]float64{0, 0.1, 0.2, 0.3, 0.2}
+var reserves = [kindCount]float64{0, 0.1, 0.2, 0.2, 0.3, 0.2}
 
 // New returns a budget with a full bucket.
 func New(now time.Time) *Budget { return &Budget{tokens: Burst, updatedAt: now} }
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -181,6 +181,7 @@
 		n.applyAck(b)
 	}
 	if b.SentAt > 0 {
+		n.admission.Merge(heartbeat.DecodeDemands(b.Demands), wall)
 		n.sendAck(b)
 	}
 	if revision, _, loaded := n.mirror.State(); b.Revision > revision || !loaded {
@@ -225,7 +226,7 @@
 	n.send(b.PeerAddress, ack, kind)
 }
 
-// newPing returns a ping with the loads, back-offs, recent holders and evidence on crashes that this instance knows.
+// newPing returns a ping with the loads, back-offs, recent holders, evidence on crashes and demands that this instance knows.
 func (n *Instance) newPing() heartbeat.Message {
 	b := n.withEvidence(n.withLoads(n.baseMessage()))
 	wall := time.Now()
@@ -233,6 +234,7 @@
 	for _, l := range n.table.RecentLimits(limitsPerMessage, wall) {
 		b.Limits = append(b.Limits, heartbeat.Limit{Engine: l.Engine, Rate: l.Rate, Age: heartbeat.MillisOf(wall.Sub(l.At))})
 	}
+	b.Demands = heartbeat.EncodeDemands(n.admission.Demands(wall))
 	b.SentAt = boottime.Now()
 	return b
 }
@@ -291,20 +293,23 @@
 	return observations
 }
 
-// send sends a heartbeat if the control budget covers it. If the budget covers only a part, it leaves out the loads, holders and evidence on crashes.
+// send sends a heartbeat if the control budget covers it. If the budget covers only a part, it leaves out the loads, holders and evidence on crashes, and
+// then the routes and organisations of demands.
 func (n *Instance) send(to string, b heartbeat.Message, kind budget.Kind) {
+	whole := heartbeat.Encode(b)
+	b.LocalLoads, b.ReportedLoads, b.Holders, b.Requests, b.Parts, b.Ends = nil, nil, nil, nil, nil, nil
+	withDemands := heartbeat.Encode(b)
+	b.Demands = heartbeat.WithoutClasses(b.Demands)
 	body := heartbeat.Encode(b)
-	short := body
-	if len(b.LocalLoads)+len(b.ReportedLoads)+len(b.Holders)+len(b.Requests)+len(b.Parts)+len(b.Ends) > 0 {
-		b.LocalLoads, b.ReportedLoads, b.Holders, b.Requests, b.Parts, b.Ends = nil, nil, nil, nil, nil, nil
-		short = heartbeat.Encode(b)
-	}
 	now := time.Now()
-	if !n.controlBudget.Spend(kind, len(short), now) {
+	if !n.controlBudget.Spend(kind, len(body), now) {
 		return
 	}
-	if !n.controlBudget.Spend(budget.ModelLoads, len(body)-len(short), now) {
-		body = short
+	if n.controlBudget.Spend(budget.Demands, len(withDemands)-len(body), now) {
+		body = withDemands
+		if n.controlBudget.Spend(budget.ModelLoads, len(whole)-len(withDemands), now) {
+			body = whole
+		}
 	}
 	n.transmit(to, body)
 }
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaroute/vanillaroute/metrics"
 	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
@@ -123,6 +124,7 @@
 		controlBudget *budget.Budget
 		metrics       *metrics.Registry
 		crashes       *suspects.Crashes
+		admission     *admission.Controller
 		stop          atomic.Pointer[forward.Stop]
 		// ending ends when requests in progress have to end.
 		ending context.Context
@@ -178,7 +180,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
-		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
+		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
 	}
 	n.settings.Store(&s)
 	n.stop.Store(&forward.Stop{})
@@ -264,7 +266,7 @@
 	}
 	return forward.New(forward.Dependencies{
 		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
-		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
+		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Admission: n.admission, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
 	})
 }
 
@@ -295,11 +297,12 @@
 	}
 }
 
-// sweep removes expired evidence on crashes, idle connections, and the state of unregistered engines, until ctx ends.
+// sweep removes expired evidence on crashes and counts of requests, idle connections, and the state of unregistered engines, until ctx ends.
 func (n *Instance) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepPeriod) {
 		now := time.Now()
 		n.crashes.Sweep(now)
+		n.admission.Prune(now)
 		addresses := make(map[string]bool)
 		list := n.snapshot.Load().engines
 		for _, e := range list.All() {
