--- a/process/entry/stopping_test.go
+++ b/process/entry/stopping_test.go
@@ -51,7 +51,12 @@
 				f.eventually(func() bool { return f.runs.Load() == 1 }, "the engine does not get the request")
 			}
 			stopped := time.Now()
-			go f.halt(0)
+			halted := make(chan struct{})
+			go func() {
+				f.halt(0)
+				close(halted)
+			}()
+			defer func() { <-halted }()
 			if tt.late {
 				time.Sleep(fromStop)
 				write(t, conn, rest)
