--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -17,10 +17,10 @@
 const (
 	// targetShare is the fraction of a route's target time that answers should take on average, so that most of them take less than the target.
 	targetShare = 0.7
-	// riseStiffness and fallStiffness are how far the admitted rate differs from the rate of answers, relative to how far their time differs from the wanted
-	// one, up to maxFall. The counts are about a second old: a stiffer fall makes queues oscillate, a slower rise leaves engines idle.
-	riseStiffness, fallStiffness = 0.7, 0.3
-	maxFall                      = 0.25
+	// riseGain and fallGain are how far the admitted rate differs from the rate of answers, relative to how far their time differs from the wanted
+	// one, up to maxFall. The counts are about a second old: a higher fallGain makes queues oscillate, a lower riseGain leaves engines idle.
+	riseGain, fallGain = 0.7, 0.3
+	maxFall            = 0.25
 	// minHeard is the number of recent messages of other instances without which no request is refused.
 	minHeard = 2
 	// maxDemands, maxRoutes and maxOrganisations bound the services that are shared with other instances, and the routes and organisations of each; those
@@ -28,8 +28,8 @@
 	maxDemands       = 4
 	maxRoutes        = 4
 	maxOrganisations = 8
-	// pressedSpan is how long routes and organisations are shared with other instances after a service had more requests than it may get.
-	pressedSpan = 2 * time.Second
+	// overloadSpan is how long routes and organisations are shared with other instances after a service had more requests than it may get.
+	overloadSpan = 2 * time.Second
 	// minRetryAfter and maxRetryAfter bound the time after which a refused request may come back.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
@@ -102,8 +102,8 @@
 		// instances, while the requests that have not been averaged yet decay.
 		own counts
 		// fleet is the mean of the counts in recent messages. Decisions are based on it, because an instance's own requests have too high a weight in own.
-		fleet        counts
-		pressedUntil time.Time
+		fleet           counts
+		overloadedUntil time.Time
 	}
 
 	counts struct {
@@ -153,11 +153,11 @@
 	}
 	wanted := targetShare * r.Target.Seconds()
 	change := (wanted - d.ExpectedTime.Seconds()) / wanted
-	allowed := answers * (1 + max(riseStiffness*max(change, 0)+fallStiffness*min(change, 0), -maxFall))
+	allowed := answers * (1 + max(riseGain*max(change, 0)+fallGain*min(change, 0), -maxFall))
 	if allowed >= arrivals {
 		return d
 	}
-	s.pressedUntil = now.Add(pressedSpan)
+	s.overloadedUntil = now.Add(overloadSpan)
 	d.Probability = admittedShare(fleet.routes.at(now), fleet.organisations.at(now), r.Route, r.Organisation, arrivals, allowed)
 	if rand.Float64() < d.Probability {
 		return d
@@ -177,14 +177,14 @@
 	s.own.answerSeconds.Add(took.Seconds(), now)
 }
 
-// Demands returns what this instance shares with others, with routes and organisations only for the services that are pressed.
+// Demands returns what this instance shares with others, with routes and organisations only for the overloaded services.
 func (c *Controller) Demands(now time.Time) []Demand {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []Demand
 	for id, s := range c.services {
 		if s.own.arrivals.At(now) >= forgetCount {
-			list = append(list, s.own.demand(id, now.Before(s.pressedUntil), now))
+			list = append(list, s.own.demand(id, now.Before(s.overloadedUntil), now))
 		}
 	}
 	return largest(list, maxDemands, func(d Demand) float64 { return d.Arrivals })
@@ -282,7 +282,7 @@
 	return largest(list, count, func(d ClassDemand) float64 { return d.Arrivals })
 }
 
-// average averages the counts with those that another instance has sent, at most a number of classes, or none if the service is not pressed there. A class
+// average averages the counts with those that another instance has sent, at most a number of classes, or none if the service is not overloaded there. A class
 // that has been left out has at most the least count that was sent.
 func (c classes) average(list []ClassDemand, most int, now time.Time) {
 	if len(list) == 0 {
