fix(entry): bytes of callers, engines and instances stay within the memory of the machine

Cause: bounds were constants (8 MiB an answer, 32 MiB all answers) and counted lengths, not the capacity of growing buffers; requests being read and frames for other instances were not counted at all, and the Go runtime had no memory limit.

Change: one budget (sizelimit.Budget), a fifth of the machine's memory, for the bytes of callers and engines. A message may grow as long as it takes less than what is free, and always to 16 KiB, so endless messages end and small ones pass. The memory comes from the setting instance.memory, from the process's resource limits or from the machine, and is also the runtime's soft limit (0.7). A request for a replica may take 1 KiB, not 16 MiB. Bodies of requests are not copied.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -58,16 +59,34 @@
 	defer sink.Close(logFlushTimeout)
 	stopCounting := sink.ReportDropped(log)
 	defer stopCounting()
+	if err := limitMemory(s); err != nil {
+		return err
+	}
 	n, err := entry.New(s, platform.New(s.Store.Address.String()), log, time.Now())
 	if err != nil {
 		return err
 	}
 	watchCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	go watchSettings(watchCtx, e.config, hangup, n.Reload, log)
+	reload := func(s entry.Settings) {
+		if err := limitMemory(s); err != nil {
+			log.Warn("memory limit not changed", zap.Error(err))
+		}
+		n.Reload(s)
+	}
+	go watchSettings(watchCtx, e.config, hangup, reload, log)
 	return n.Run(ctx)
 }
 
+// limitMemory sets the memory limit of the Go runtime.
+func limitMemory(s entry.Settings) error {
+	limit, err := s.SoftMemoryLimit()
+	if err == nil {
+		debug.SetMemoryLimit(limit)
+	}
+	return err
+}
+
 // watchSettings reloads the settings file at each signal and whenever its content changes, until ctx ends. If the file
 // cannot be read or is invalid, the last valid settings stay in use.
 func watchSettings(ctx context.Context, file string, hangup <-chan os.Signal, reload func(entry.Settings), log *zap.Logger) {
--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
@@ -87,6 +88,8 @@
 		Log       *zap.Logger
 		// Stop returns how the instance is stopping, or the zero value.
 		Stop func() Stop
+		// Memory bounds the bytes of callers and engines that are kept: requests, answers that are not relayed as they arrive, and events.
+		Memory *sizelimit.Budget
 		// Ending ends when requests in progress have to end, because the instance is about to cut its connections.
 		Ending context.Context
 	}
@@ -102,7 +105,6 @@
 	// Handler is the HTTP handler for callers' requests.
 	Handler struct {
 		Dependencies
-		answers *answerBuffers
 		// problemLog logs requests that the first engine did not answer. If logging is over budget, its lines are dropped last.
 		problemLog *zap.Logger
 	}
@@ -111,7 +113,7 @@
 // New returns a Handler that logs under logs.RequestLogger.
 func New(deps Dependencies) *Handler {
 	deps.Log = deps.Log.Named(logs.RequestLogger)
-	return &Handler{Dependencies: deps, answers: &answerBuffers{}, problemLog: deps.Log.Named("troubled")}
+	return &Handler{Dependencies: deps, problemLog: deps.Log.Named("troubled")}
 }
 
 // hopHeaders are the header fields that apply to a single connection and are not forwarded.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -41,6 +41,8 @@
 	minFetchTokens = 64
 	// beginWindow is the longest time from the first event of an answer to a crash of the engine at which the request may be its cause.
 	beginWindow = time.Second
+	// maxAnswerBytes bounds an answer that is held in memory until it is complete.
+	maxAnswerBytes = 8 << 20
 	// discardTimeout bounds how long the rest of a refusal is read, so that its connection can be used again, and maxDiscardBytes its size.
 	discardTimeout  = 50 * time.Millisecond
 	maxDiscardBytes = 64 << 10
@@ -354,8 +356,9 @@
 
 // relayBuffered reads an answer to its end, checks it and writes it to the caller.
 func (x *exchange) relayBuffered(ctx context.Context, resp *upstream.Response, e engines.Engine, inFlight *placing.Placement) result {
-	body, err := x.answers.read(resp.Body)
-	defer x.answers.release(body)
+	kept := x.Memory.NewHolder()
+	defer kept.Release()
+	body, err := kept.ReadAll(resp.Body, resp.Length, maxAnswerBytes)
 	now := time.Now()
 	if err != nil {
 		x.reason = "the answer ended early: " + err.Error()
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
@@ -33,6 +34,8 @@
 const (
 	key     = "key-one"
 	service = ident.Service("s")
+	// testMemoryBytes is more than the tests need.
+	testMemoryBytes = 64 << 20
 )
 
 var testNames = HeaderNames{
@@ -86,7 +89,8 @@
 	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, []routing.Organisation{{Name: "museum", Keys: []string{key}}})
 	f.engines.Store(engines.NewList(all))
 	f.handler = New(Dependencies{
-		Names: testNames, Limits: func() AgeLimits { return AgeLimits{MaxKeyAge: 4 * time.Second, MaxDenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
+		Memory: sizelimit.NewBudget(testMemoryBytes),
+		Names:  testNames, Limits: func() AgeLimits { return AgeLimits{MaxKeyAge: 4 * time.Second, MaxDenyAge: 3 * time.Second} }, Table: placing.New(placing.Policy{LoadBound: 1.5}),
 		Budget: retries.New(retries.Policy{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}, time.Now()), Client: upstream.New(), Metrics: metrics.NewRegistry(), Crashes: suspects.NewCrashes(), Admission: admission.New(), Log: zap.NewNop(),
 		Snapshot: func() Snapshot {
 			return Snapshot{Configuration: configuration, Engines: f.engines.Load(), ConfirmedAge: time.Duration(f.confirmedAge.Load()), Instances: 3}
@@ -600,10 +604,10 @@
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\ndata"))
 	f.Add([]byte("\r\n\r\n:comment\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		r := eventReader{reader: bufio.NewReaderSize(bytes.NewReader(data), 16), kept: sizelimit.NewBudget(testMemoryBytes).NewHolder()}
 		var all []byte
 		for {
-			event, err := readEvent(r)
+			event, err := r.next()
 			all = append(all, event...)
 			eventID(event)
 			if err != nil {
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
 )
@@ -28,6 +28,8 @@
 	retryAfterCulprit = time.Minute
 	// defaultTimeout is the time-out of a route that sets none. The caller may state a shorter one.
 	defaultTimeout = 30 * time.Second
+	// maxBodyBytes bounds the body of a request if the configuration does not.
+	maxBodyBytes   = 8 << 20
 	bearerPrefix   = "Bearer "
 	reasonStopping = "the instance is stopping"
 )
@@ -49,7 +51,9 @@
 	route, org, refused := h.admit(snapshot, r)
 	if refused == nil {
 		var body []byte
-		if body, refused = readBody(w, r, snapshot.Configuration.Limits); refused == nil {
+		kept := h.Memory.NewHolder()
+		defer kept.Release()
+		if body, refused = readBody(w, r, snapshot.Configuration.Limits, kept); refused == nil {
 			x := h.newExchange(w, r, route, org, body, arrived)
 			if last := h.Stop().LastAnswerAt; last.IsZero() || x.deadline.Before(last) {
 				x.run()
@@ -158,25 +162,26 @@
 	_, _ = w.Write(body)
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, *refusal) {
-	reader := r.Body
+// readBody reads the body of a request into memory of kept.
+func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, kept *sizelimit.Holder) ([]byte, *refusal) {
+	maxBytes := int64(maxBodyBytes)
 	if limits.MaxBodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 && (limits.MaxBodyBytes == 0 || r.ContentLength <= limits.MaxBodyBytes) {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
+		maxBytes = limits.MaxBodyBytes
 	}
+	body, err := kept.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
 	if err == nil {
 		return body, nil
 	}
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	var tooLong *sizelimit.Error
+	var noMemory *sizelimit.BudgetError
+	switch {
+	case errors.As(err, &large) || errors.As(err, &tooLong):
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+	case errors.As(err, &noMemory):
+		// The rest of the body is not read, so the connection cannot be used again.
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, "the instance has no memory for the body", retryAfterOverload}
 	}
 	return nil, &refusal{http.StatusBadRequest, "the body could not be read", 0}
 }
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
@@ -24,15 +25,24 @@
 	streamMediaType    = "text/event-stream"
 )
 
-// stream is the state of a streamed answer of which the caller has received a part.
-type stream struct {
-	control *http.ResponseController
-	// status and mediaType are those of the answer that began the stream.
-	status    int
-	mediaType string
-	// last is the id of the last event sent to the caller.
-	last string
-}
+type (
+	// stream is the state of a streamed answer of which the caller has received a part.
+	stream struct {
+		control *http.ResponseController
+		// status and mediaType are those of the answer that began the stream.
+		status    int
+		mediaType string
+		// last is the id of the last event sent to the caller.
+		last string
+	}
+
+	// eventReader reads the events of a stream into one buffer.
+	eventReader struct {
+		reader *bufio.Reader
+		kept   *sizelimit.Holder
+		event  []byte
+	}
+)
 
 // follows reports whether an event comes after the last one sent. Numeric ids must increase; other ids are not compared.
 func (s *stream) follows(event []byte) bool {
@@ -70,9 +80,10 @@
 		x.Table.RecordFailure(e, false, time.Now())
 		return resultLost
 	}
-	reader := bufio.NewReaderSize(resp.Body, eventBufferBytes)
+	events := &eventReader{reader: bufio.NewReaderSize(resp.Body, eventBufferBytes), kept: x.Memory.NewHolder()}
+	defer events.kept.Release()
 	for {
-		event, err := readEvent(reader)
+		event, err := events.next()
 		if err != nil {
 			mayEnd := !x.answeringSince.IsZero() || (resp.Framed && x.stream != nil && x.stream.isContinuedBy(resp, nil))
 			return x.finishStream(ctx, resp, err, len(event), mayEnd, e)
@@ -146,20 +157,27 @@
 	return x.stream.control.Flush()
 }
 
-// readEvent reads one event up to and including its blank line. On an error it returns the bytes read so far.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// next reads one event up to and including its blank line. On an error it returns the bytes read so far. The event is valid until the following call.
+func (r *eventReader) next() ([]byte, error) {
+	if cap(r.event) > sizelimit.GrantedBytes {
+		r.event = nil
+		r.kept.Release()
+	}
+	r.event = r.event[:0]
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		line, err := r.reader.ReadSlice('\n')
+		r.event = append(r.event, line...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event, err
+			return r.event, err
+		}
+		if len(r.event) > maxEventBytes {
+			return r.event, errors.New("event too large")
 		}
-		if len(event) > maxEventBytes {
-			return event, errors.New("event too large")
+		if memoryErr := r.kept.Resize(int64(cap(r.event))); memoryErr != nil {
+			return r.event, memoryErr
 		}
 		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
+			return r.event, nil
 		}
 	}
 }
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -36,6 +36,8 @@
 	// 0.4 s on the slowest links, and several instances may fetch from the same one.
 	stallTimeout = 800 * time.Millisecond
 	fetchTimeout = 4 * time.Second
+	// maxRequestBytes bounds a FetchRequest, which takes some 12 bytes.
+	maxRequestBytes = 1 << 10
 	// chunkBytes is the size of the writes of a reply; stallTimeout applies to each.
 	chunkBytes = 16 << 10
 	// failureBackoff keeps a failing listener from spinning.
@@ -413,7 +415,7 @@
 func answer(raw net.Conn, serve func(FetchRequest) FetchReply) error {
 	defer func() { _ = raw.Close() }()
 	conn := newProgressConn(raw, time.Now(), nil)
-	f, err := wire.Read(conn)
+	f, err := wire.ReadUpTo(conn, maxRequestBytes)
 	if err != nil {
 		return err
 	}
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -19,6 +19,8 @@
 	probeTimeout = 30 * time.Millisecond
 	// maxIdlePerEngine bounds the idle connections in the pool per engine.
 	maxIdlePerEngine = 8
+	// headBytes is what the head of most requests fits into.
+	headBytes = 512
 	// maxFailed bounds the failures whose ids a connection keeps. It is closed after that.
 	maxFailed = 64
 	// DialTimeout is several times what a healthy engine in another region takes to accept a connection. It does not allow for the
@@ -51,6 +53,8 @@
 		Status int
 		Header http.Header
 		Body   io.ReadCloser
+		// Length is the length of the body, or -1 if it is unknown.
+		Length int64
 		// Framed says that the body has a length or chunks. Otherwise it ends with the connection.
 		Framed bool
 	}
@@ -102,7 +106,7 @@
 		conn.failed = append(conn.failed, hashOf(r.ID))
 	}
 	b := &body{Reader: resp.Body, client: c, conn: conn, address: address, resp: resp, written: written, stop: stop}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framed: isFramed(resp)}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: isFramed(resp)}, nil
 }
 
 // ConnectionRefused reports whether an address refuses a connection attempt. It returns false if there is no reply within 30 ms.
@@ -192,18 +196,17 @@
 	return b.conn.Close()
 }
 
-// encode returns the request in HTTP/1.1 format.
-func (r *Request) encode() []byte {
+// encodeHead returns the head of the request in HTTP/1.1 format.
+func (r *Request) encodeHead() *bytes.Buffer {
 	var out bytes.Buffer
-	out.Grow(len(r.Body) + 512)
+	out.Grow(headBytes)
 	out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&out)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(r.Body)
-	return out.Bytes()
+	return &out
 }
 
 // isFramed reports whether the body of an answer has a length or chunks.
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -122,17 +122,21 @@
 // roundTrip writes the request and reads answers until one matches it. It skips interim answers and answers to other requests, within
 // bounds. The channel receives the result of writing the request.
 func (c *conn) roundTrip(r *Request) (*http.Response, <-chan error, error) {
-	raw := r.encode()
+	head := r.encodeHead()
 	written := make(chan error, 1)
-	if len(raw) <= inlineWriteBytes {
-		_, err := c.Write(raw)
-		if err != nil {
+	if head.Len()+len(r.Body) <= inlineWriteBytes {
+		head.Write(r.Body)
+		if _, err := c.Write(head.Bytes()); err != nil {
 			return nil, nil, errors.Wrap(err, "write request")
 		}
 		written <- nil
 	} else {
 		go func() {
-			_, err := c.Write(raw)
+			// A large body is not copied.
+			_, err := c.Write(head.Bytes())
+			if err == nil {
+				_, err = c.Write(r.Body)
+			}
 			written <- err
 		}()
 	}
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
+	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
@@ -125,7 +126,9 @@
 		metrics       *metrics.Registry
 		crashes       *suspects.Crashes
 		admission     *admission.Controller
-		stop          atomic.Pointer[forward.Stop]
+		// peerBytes bounds the bytes of callers and engines that are kept.
+		peerBytes *sizelimit.Budget
+		stop      atomic.Pointer[forward.Stop]
 		// ending ends when requests in progress have to end.
 		ending context.Context
 		end    context.CancelFunc
@@ -172,6 +175,10 @@
 
 // New returns an instance that does not run yet. It fails if it cannot listen on its peer address.
 func New(s Settings, p Platform, log *zap.Logger, now time.Time) (*Instance, error) {
+	peerBytes, err := s.peerBytes()
+	if err != nil {
+		return nil, err
+	}
 	heartbeats, err := heartbeat.Listen(s.Instance.Peers.String())
 	if err != nil {
 		return nil, err
@@ -181,6 +188,7 @@
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
 		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
+		peerBytes: sizelimit.NewBudget(peerBytes),
 	}
 	n.settings.Store(&s)
 	n.stop.Store(&forward.Stop{})
@@ -255,6 +263,11 @@
 	n.settings.Store(&s)
 	n.retryBudget.SetPolicy(s.retryPolicy(), time.Now())
 	n.table.SetPolicy(s.placingPolicy())
+	if peerBytes, err := s.peerBytes(); err != nil {
+		n.log.Warn("memory settings not reloaded", zap.Error(err))
+	} else {
+		n.peerBytes.SetMax(peerBytes)
+	}
 	n.log.Info("settings reloaded")
 }
 
@@ -266,7 +279,7 @@
 	}
 	return forward.New(forward.Dependencies{
 		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
-		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Admission: n.admission, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
+		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, Admission: n.admission, Memory: n.peerBytes, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
 	})
 }
 
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -44,6 +44,8 @@
 			// Metrics is the IP address and port of the metrics server; without it, no metrics are served.
 			Metrics tomlfile.Address   `toml:"metrics"`
 			Seeds   []tomlfile.Address `toml:"seeds"`
+			// Memory is the memory that the process may use, or 0 for what its resource limits and its machine leave it.
+			Memory tomlfile.Bytes `toml:"memory"`
 			// FirstStart says that the whole fleet starts for the first time, so that no engine has cached anything.
 			FirstStart bool `toml:"firstStart"`
 		} `toml:"instance"`
@@ -111,6 +113,7 @@
 		{s.Instance.Ready.IsValid(), "instance", "ready", "expected the IP number and port of the readiness check"},
 		{s.Instance.Directory.IsValid(), "instance", "directory", "expected the IP number and port at which callers ask for addresses"},
 		{s.Instance.Peers.IsValid(), "instance", "peers", "expected the IP number and port for peers"},
+		{s.Instance.Memory.Int64() == 0 || s.Instance.Memory.Int64() >= minMemory, "instance", "memory", "expected 64MB or more, or 0MB for the memory of the machine"},
 		{s.Store.Address.IsValid(), "store", "address", "expected the IP number and port of the platform's store"},
 		{s.Bounds.Shutdown.Std() > 0, "bounds", "shutdown", "expected a duration above 0"},
 		{s.Bounds.LoadFactor >= 0, "bounds", "loadFactor", "expected a multiple of 0 or more"},
--- a/process/entry/settings_test.go
+++ b/process/entry/settings_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -50,6 +51,9 @@
 		{"wrong type", "firstStart = true", `firstStart = "yes"`, 10, "instance.firstStart"},
 		{"unknown key", "loadFactor = 2", "loadfactors = 2", 21, "bounds.loadfactors"},
 		{"no window", `window = "10s"`, "", 23, "retries.window"},
+		{"memory without unit", "firstStart = true", "memory = \"184\"", 10, "instance.memory"},
+		{"memory as a number", "firstStart = true", "memory = 184", 10, "memory"},
+		{"too little memory", "firstStart = true", "memory = \"184kB\"", 10, "instance.memory"},
 		{"negative slack", "slack = 58", "slack = -1", 25, "retries.slack"},
 		{"broken table header", "[retries]", "[retr", 23, ""},
 	}
@@ -70,6 +74,28 @@
 	}
 }
 
+// TestMemorySharesFollowTheSettings checks the shares of a named amount, and that without one the process takes what its machine has.
+func TestMemorySharesFollowTheSettings(t *testing.T) {
+	for _, tt := range []struct {
+		memory            string
+		minLimit, maxSoft int64
+	}{
+		{"160MB", 100e6, 160e6},
+		{"1GB", 500e6, 1e9},
+		{"0MB", 100e6, math.MaxInt64},
+	} {
+		s, err := Parse("entry.toml", []byte(strings.Replace(goodSettings, "firstStart = true", "memory = \""+tt.memory+"\"", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		soft, err := s.SoftMemoryLimit()
+		kept, keptErr := s.peerBytes()
+		if err != nil || keptErr != nil || soft < tt.minLimit || soft > tt.maxSoft || kept <= 0 || 2*kept > soft {
+			t.Errorf("%s: soft limit %d, bytes of peers %d, %v, %v", tt.memory, soft, kept, err, keptErr)
+		}
+	}
+}
+
 func TestAgesFollowTheBounds(t *testing.T) {
 	s, err := Parse("entry.toml", []byte(goodSettings))
 	if err != nil {
--- /dev/null
+++ b/sizelimit/budget.go
@@ -0,0 +1,115 @@
+package sizelimit
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// GrantedBytes is what each holder of a budget gets, whatever the others hold, so that ordinary messages are never refused.
+	GrantedBytes = 16 << 10
+	// firstReadBytes is the size of the first buffer for a message of unknown length.
+	firstReadBytes = 4 << 10
+)
+
+type (
+	// Budget bounds the bytes that many holders keep in memory together. It is safe for concurrent use.
+	Budget struct {
+		mu             sync.Mutex
+		maxBytes, used int64
+	}
+
+	// Holder keeps bytes of a budget. It is not safe for concurrent use.
+	Holder struct {
+		budget *Budget
+		held   int64
+	}
+
+	// BudgetError is returned if a holder wants to keep more bytes than the budget leaves it.
+	BudgetError struct{ Bytes int64 }
+)
+
+// Error returns the message with the bytes that were asked for.
+func (e *BudgetError) Error() string { return fmt.Sprintf("no memory for %d bytes", e.Bytes) }
+
+// NewBudget returns a budget of maxBytes.
+func NewBudget(maxBytes int64) *Budget { return &Budget{maxBytes: maxBytes} }
+
+// SetMax changes the size of the budget. What is held stays.
+func (b *Budget) SetMax(maxBytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.maxBytes = maxBytes
+}
+
+// NewHolder returns a holder without bytes.
+func (b *Budget) NewHolder() *Holder { return &Holder{budget: b} }
+
+// Resize changes the bytes that the holder keeps. Above GrantedBytes it fails with *BudgetError if less than that many bytes would then be free, so that
+// a few large holders never use up the budget.
+func (h *Holder) Resize(bytes int64) error {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := b.used + bytes - h.held
+	if bytes > h.held && bytes > GrantedBytes && bytes > b.maxBytes-used {
+		return &BudgetError{Bytes: bytes}
+	}
+	b.used, h.held = used, bytes
+	return nil
+}
+
+// Release returns all bytes to the budget.
+func (h *Holder) Release() {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= h.held
+	h.held = 0
+}
+
+// ReadAll reads a message of a given length, or -1 if it is unknown, to its end, and holds the buffer's capacity. It fails with *Error if the message is
+// longer than maxBytes, and with *BudgetError if the budget has no room. After an error nothing of the message is held.
+func (h *Holder) ReadAll(from io.Reader, length, maxBytes int64) ([]byte, error) {
+	data, err := h.readAll(from, length, maxBytes)
+	if err != nil {
+		h.Release()
+		return nil, err
+	}
+	return data, nil
+}
+
+func (h *Holder) readAll(from io.Reader, length, maxBytes int64) ([]byte, error) {
+	if length > maxBytes {
+		return nil, &Error{MaxBytes: maxBytes}
+	}
+	// One byte more than the message lets the last read find its end.
+	capacity := length + 1
+	if length < 0 {
+		capacity = min(firstReadBytes, maxBytes+1)
+	}
+	var data []byte
+	for {
+		if int64(len(data)) > maxBytes {
+			return nil, &Error{MaxBytes: maxBytes}
+		}
+		if len(data) == cap(data) {
+			if err := h.Resize(capacity); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, capacity), data...)
+			capacity = min(2*capacity, maxBytes+1)
+		}
+		n, err := from.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -47,7 +48,7 @@
 		// limit is the current limit of the engine, or nil.
 		limit   *limitSpan
 		notices notices
-		// losesAnswers makes the engine run requests but, for a third of them, close the connection instead of answering.
+		// losesAnswers makes the engine run requests but, for a third of them, close the connection or send bytes without end instead of answering.
 		losesAnswers atomic.Bool
 	}
 
@@ -211,6 +212,10 @@
 	}
 	if e.losesAnswers.Load() && rand.IntN(3) == 0 {
 		time.Sleep(processingTime)
+		if rand.IntN(2) == 0 {
+			e.answerEndlessly(w, id)
+			return
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if strings.HasPrefix(r.URL.Path, pathStream) {
@@ -234,6 +239,15 @@
 	return func() { _ = conn.Close() }
 }
 
+// answerEndlessly writes the head of an answer and then bytes that are no answer, until the instance closes the connection.
+func (e *engine) answerEndlessly(w http.ResponseWriter, id ident.Request) {
+	w.Header().Set(e.names.ResponseSeal, "seal")
+	var err error
+	for chunk := bytes.Repeat([]byte(id), 256); err == nil; {
+		_, err = w.Write(chunk)
+	}
+}
+
 func (e *engine) problem(r *http.Request) string {
 	switch {
 	case r.Header.Get("Authorization") != "":
--- a/tomlfile/tomlfile.go
+++ b/tomlfile/tomlfile.go
@@ -4,8 +4,10 @@
 	"bytes"
 	stderrors "errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +26,9 @@
 	// Duration is a length of time with its unit, such as "250ms". It is a struct so that the decoder rejects bare numbers.
 	Duration struct{ value time.Duration }
 
+	// Bytes is an amount of memory with its unit, such as "184MB". It is a struct so that the decoder rejects bare numbers.
+	Bytes struct{ value int64 }
+
 	// Address is an IP address with a port, such as "127.0.0.1:8001".
 	Address struct{ netip.AddrPort }
 )
@@ -52,6 +57,32 @@
 // NewDuration returns d as a Duration.
 func NewDuration(d time.Duration) Duration { return Duration{value: d} }
 
+// UnmarshalText parses an amount of memory. It returns an error unless it is a whole number of kB, MB or GB.
+func (b *Bytes) UnmarshalText(text []byte) error {
+	for unit, size := range map[string]int64{"kB": 1e3, "MB": 1e6, "GB": 1e9} {
+		number, ok := strings.CutSuffix(string(text), unit)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64); err == nil && n >= 0 && n <= math.MaxInt64/size {
+			b.value = n * size
+			return nil
+		}
+	}
+	return fmt.Errorf("expected an amount of memory such as \"184MB\", not %q", text)
+}
+
+// MarshalText returns the amount in kB.
+func (b Bytes) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatInt(b.value/1e3, 10) + "kB"), nil
+}
+
+// Int64 returns the number of bytes.
+func (b Bytes) Int64() int64 { return b.value }
+
+// NewBytes returns n bytes.
+func NewBytes(n int64) Bytes { return Bytes{value: n} }
+
 // UnmarshalText parses an address. It returns an error for anything but an IP address with a port.
 func (a *Address) UnmarshalText(text []byte) error {
 	v, err := netip.ParseAddrPort(string(text))
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -43,7 +43,7 @@
 		Body   []byte
 	}
 
-	// FrameError is returned for a header with an unknown kind or a body over MaxBodyBytes.
+	// FrameError is returned for a header with an unknown kind or a body that is too large.
 	FrameError struct {
 		Length uint32
 		Kind   Kind
@@ -71,14 +71,17 @@
 }
 
 // Read reads one frame. It fails with *FrameError on an unknown kind or a body over MaxBodyBytes, or with the reader's error.
-func Read(r io.Reader) (Frame, error) {
+func Read(r io.Reader) (Frame, error) { return ReadUpTo(r, MaxBodyBytes) }
+
+// ReadUpTo reads one frame. It fails with *FrameError on an unknown kind or a body over maxBytes, or with the reader's error.
+func ReadUpTo(r io.Reader, maxBytes uint32) (Frame, error) {
 	var header [HeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
 	}
 	length := binary.BigEndian.Uint32(header[0:4])
 	kind := Kind(header[4])
-	if length > MaxBodyBytes || kind == 0 || kind >= kindLimit {
+	if length > maxBytes || kind == 0 || kind >= kindLimit {
 		return Frame{}, &FrameError{Length: length, Kind: kind}
 	}
 	f := Frame{Kind: kind, Stream: binary.BigEndian.Uint64(header[5:]), Body: make([]byte, length)}
