fix(entry): announcements of changes use a quarter of the control budget at most

Cause: each change in the store is announced to six instances, ten times a second at most. At ten changes a second that takes 5 KB/s of 4, so heartbeats and first of all the loads and holders in them are left out, just while engines come and go.

Change: announcements have a bucket of their own, a quarter of the budget. Heartbeats bring what is not announced. Announcements of a stop stay urgent.

Measured: TestAnnouncementsLeaveBudgetForHeartbeats at 10 and 36 changes a second, before: 156 of 240 heartbeats not covered, 58 with loads; after: none, and at least half with loads. At 3 changes a second both pass.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -10,12 +10,16 @@
 	Rate = 4 << 10
 	// Burst is the capacity of the token bucket, in bytes.
 	Burst = 32 << 10
+	// announcementShare is the share of Rate and of Burst that announcements may use. Heartbeats bring what is not announced, a second later.
+	announcementShare = 0.25
 )
 
 // Kinds of control traffic. Urgent traffic may use the whole burst; reserves says how much the others leave.
 const (
-	// Urgent traffic announces changes, for example of the configuration or of an instance that stops.
+	// Urgent traffic is answers with changes, and announcements of an instance that stops or cannot reach the store.
 	Urgent Kind = iota
+	// Announcements are of changes in the store, which may come many times a second.
+	Announcements
 	// Membership traffic is heartbeats and probes.
 	Membership
 	// Suspects is evidence on requests that may crash engines. A crash may bring much of it.
@@ -36,10 +40,10 @@
 	// Budget is a token bucket for all control traffic. Less important kinds leave a reserve for the others.
 	Budget struct {
 		mu sync.Mutex
-		// tokens is the content of the bucket at updatedAt, in bytes.
-		tokens    float64
-		updatedAt time.Time
-		usage     Usage
+		// tokens is the content of the bucket at updatedAt, in bytes, and announcementTokens that of the bucket of announcements.
+		tokens, announcementTokens float64
+		updatedAt                  time.Time
+		usage                      Usage
 	}
 
 	// Usage counts the bytes of each kind since the start.
@@ -51,22 +55,30 @@
 )
 
 // reserves holds the share of the burst that each kind must leave to the other kinds.
-var reserves = [kindCount]float64{0, 0.1, 0.2, 0.2, 0.3, 0.2}
+var reserves = [kindCount]float64{0, 0, 0.1, 0.2, 0.2, 0.3, 0.2}
 
 // New returns a budget with a full bucket.
-func New(now time.Time) *Budget { return &Budget{tokens: Burst, updatedAt: now} }
+func New(now time.Time) *Budget {
+	return &Budget{tokens: Burst, announcementTokens: announcementShare * Burst, updatedAt: now}
+}
 
-// Spend takes bytes from the budget. It takes none and returns false if that would leave less than the reserve of the kind.
+// Spend takes bytes from the budget. It takes none and returns false if that would leave less than the reserve of the kind, or if announcements have used up
+// their share.
 func (b *Budget) Spend(k Kind, bytes int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(Burst, b.tokens+Rate*max(now.Sub(b.updatedAt).Seconds(), 0))
+	earned := Rate * max(now.Sub(b.updatedAt).Seconds(), 0)
+	b.tokens = min(Burst, b.tokens+earned)
+	b.announcementTokens = min(announcementShare*Burst, b.announcementTokens+announcementShare*earned)
 	b.updatedAt = now
-	if b.tokens-float64(bytes) < reserves[k]*Burst {
+	if b.tokens-float64(bytes) < reserves[k]*Burst || (k == Announcements && b.announcementTokens < float64(bytes)) {
 		b.usage.Refused[k] += int64(bytes)
 		return false
 	}
 	b.tokens -= float64(bytes)
+	if k == Announcements {
+		b.announcementTokens -= float64(bytes)
+	}
 	b.usage.Sent[k] += int64(bytes)
 	return true
 }
--- a/process/entry/evidence_test.go
+++ b/process/entry/evidence_test.go
@@ -70,41 +70,51 @@
 	}
 }
 
-// TestAnnouncementsLeaveBudgetForHeartbeats guards against instances that hear nothing of each other while engines come and go in quick succession.
+// TestAnnouncementsLeaveBudgetForHeartbeats guards against instances that hear nothing of each other, or of the loads of engines, while engines come and go
+// in quick succession.
 func TestAnnouncementsLeaveBudgetForHeartbeats(t *testing.T) {
 	const (
-		changesPerSecond = 3
-		span             = 15 * time.Second
-		step             = heartbeatPeriod / 4
+		span = 15 * time.Second
+		step = heartbeatPeriod / 4
+		// loadBytes is what the loads and holders of a message take, and minLoadShare the share of messages that must carry them.
+		loadBytes    = 130
+		minLoadShare = 0.5
 	)
-	now := time.Now()
-	spent := budget.New(now)
-	observations := make([]heartbeat.Observation, observationsPerMessage)
-	for i := range observations {
-		observations[i] = heartbeat.Observation{IP: netip.AddrFrom4([4]byte{10, 100, 100, byte(i)}), Age: time.Second}
-	}
-	ack := wideMessage
-	ack.Observations = heartbeat.PackObservations(observations)
-	sent, refused, announced := 0, 0, 0
-	for at := time.Duration(0); at < span; at += step {
-		for ; float64(announced) < at.Seconds()*changesPerSecond; announced++ {
-			for range announceFanOut {
-				spent.Spend(budget.Urgent, len(heartbeat.Encode(wideMessage)), now.Add(at))
+	for _, changesPerSecond := range []float64{3, 10, 36} {
+		t.Run(fmt.Sprint(changesPerSecond, " changes a second"), func(t *testing.T) {
+			now := time.Now()
+			spent := budget.New(now)
+			observations := make([]heartbeat.Observation, observationsPerMessage)
+			for i := range observations {
+				observations[i] = heartbeat.Observation{IP: netip.AddrFrom4([4]byte{10, 100, 100, byte(i)}), Age: time.Second}
 			}
-		}
-		// An instance answers as many pings as it sends.
-		if at%heartbeatPeriod == 0 {
-			for range heartbeatFanOut {
-				for _, m := range []heartbeat.Message{wideMessage, ack} {
-					sent++
-					if !spent.Spend(budget.Membership, len(heartbeat.Encode(m)), now.Add(at)) {
-						refused++
+			ack := wideMessage
+			ack.Observations = heartbeat.PackObservations(observations)
+			sent, refused, withLoads, announced := 0, 0, 0, 0
+			for at := time.Duration(0); at < span; at += step {
+				for ; float64(announced) < at.Seconds()*min(changesPerSecond, 1/announcePause.Seconds()); announced++ {
+					for range announceFanOut {
+						spent.Spend(budget.Announcements, len(heartbeat.Encode(wideMessage)), now.Add(at))
+					}
+				}
+				// An instance answers as many pings as it sends.
+				if at%heartbeatPeriod == 0 {
+					for range heartbeatFanOut {
+						for _, m := range []heartbeat.Message{wideMessage, ack} {
+							sent++
+							switch {
+							case !spent.Spend(budget.Membership, len(heartbeat.Encode(m)), now.Add(at)):
+								refused++
+							case spent.Spend(budget.ModelLoads, loadBytes, now.Add(at)):
+								withLoads++
+							}
+						}
 					}
 				}
 			}
-		}
-	}
-	if refused > 0 {
-		t.Errorf("the budget does not cover %d of %d heartbeats", refused, sent)
+			if refused > 0 || float64(withLoads) < minLoadShare*float64(sent) {
+				t.Errorf("of %d heartbeats the budget does not cover %d, and covers %d with loads", sent, refused, withLoads)
+			}
+		})
 	}
 }
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -107,14 +107,14 @@
 	return netip.AddrPortFrom(ip, n.settings.Load().Instance.Peers.Port()).String()
 }
 
-// announce sends this instance's state and revision to announceFanOut instances after a change. They fetch the changes that they lack.
-func (n *Instance) announce(now boottime.Instant) {
+// announce sends this instance's state and revision to announceFanOut instances after a change, as traffic of a kind. They fetch the changes that they lack.
+func (n *Instance) announce(kind budget.Kind, now boottime.Instant) {
 	last := boottime.Instant(n.announced.Load())
 	if now.Sub(last) < announcePause || !n.announced.CompareAndSwap(int64(last), int64(now)) {
 		return
 	}
 	for _, m := range n.randomMembers(announceFanOut) {
-		n.send(m.Peer, n.baseMessage(), budget.Urgent)
+		n.send(m.Peer, n.baseMessage(), kind)
 	}
 }
 
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -297,7 +297,7 @@
 	s := n.settings.Load()
 	n.log.Info("stopping")
 	n.stop.Store(&forward.Stop{Closing: true})
-	n.announce(boottime.Now())
+	n.announce(budget.Urgent, boottime.Now())
 	cutAfter := s.Bounds.Shutdown.Std() - shutdownMargin
 	ctx, cancel := context.WithTimeout(ctx, cutAfter)
 	defer cancel()
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -250,7 +250,7 @@
 // applyAndAnnounce applies a delta and announces it to other instances if it changed anything.
 func (n *Instance) applyAndAnnounce(d mirror.Delta, confirmedAt boottime.Instant) {
 	if n.apply(d, confirmedAt) {
-		n.announce(boottime.Now())
+		n.announce(budget.Announcements, boottime.Now())
 	}
 }
 
