--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"context"
 	"io"
@@ -67,8 +68,8 @@
 		// Changes bring the receiver's replica up to Revision. HasChanges is false if they are left out.
 		Changes    []mirror.Entry
 		HasChanges bool
-		// LocalLoads counts the sender's own requests at engines that report no load. ReportedLoads holds the loads that the other
-		// engines reported to the sender.
+		// LocalLoads counts the sender's own requests at engines that report no load, and is nil if it is left out. ReportedLoads holds the loads that the other
+		// engines reported to the sender. Both and the holders are sent in an extension; earlier versions send them here.
 		LocalLoads    map[engines.Key]int
 		ReportedLoads []Load
 		// Backoffs lists the engines that the sender could not reach.
@@ -89,9 +90,11 @@
 		Limits []Limit `msgpack:"-"`
 		// Demands is what the sender sees of plain services. It is sent in an extension of pings.
 		Demands []Demand `msgpack:"-"`
+		// Running counts the sender's own requests at all engines of a service. It is sent in an extension.
+		Running []ServiceLoad `msgpack:"-"`
 	}
 
-	// surgeExtension, partExtension, limitExtension, crashExtension and demandExtension follow the message in a datagram, in this order. An instance of an earlier
+	// surgeExtension, partExtension, limitExtension, crashExtension, demandExtension and loadExtension follow the message in a datagram, in this order. An instance of an earlier
 	// version ignores those that it does not know, whereas it rejects a Message with another number of fields.
 	surgeExtension struct {
 		Surges []placing.PartID
@@ -114,9 +117,20 @@
 		Demands []Demand
 	}
 
+	loadExtension struct {
+		// Packed is encoded by packLoads.
+		Packed []byte
+	}
+
+	// ServiceLoad is the number of an instance's own requests at the engines of a service.
+	ServiceLoad struct {
+		Service  ident.ServiceID
+		Requests int
+	}
+
 	// Demand is admission.Demand in a message.
 	Demand struct {
-		Service           admission.ServiceID
+		Service           ident.ServiceID
 		Arrivals, Answers Hundredths
 		AnswerTime        Millis
 		// Routes and Organisations hold the arrivals by class.
@@ -230,9 +244,9 @@
 }
 
 // Encode returns the datagram of a heartbeat. A message that exceeds MaxDatagramBytes first loses its changes, then half of its holders
-// at a time, and last its loads and observations. The extensions are not counted.
+// at a time, and last its loads and observations. Extensions other than that of the loads are not counted.
 func Encode(m Message) []byte {
-	body := encodeMessage(m)
+	body, packed := encodeMessage(m)
 	extensions := []struct {
 		value any
 		empty bool
@@ -242,6 +256,7 @@
 		{limitExtension{Limits: m.Limits}, len(m.Limits) == 0},
 		{crashExtension{Requests: m.Requests, Ends: m.Ends}, len(m.Requests)+len(m.Ends) == 0},
 		{demandExtension{Demands: m.Demands}, len(m.Demands) == 0},
+		{loadExtension{Packed: packed}, len(packed) == 0},
 	}
 	for len(extensions) > 0 && extensions[len(extensions)-1].empty {
 		extensions = extensions[:len(extensions)-1]
@@ -263,6 +278,11 @@
 			return decodeExtension(&rest, func(e crashExtension) { m.Requests, m.Ends = e.Requests, e.Ends })
 		},
 		func() error { return decodeExtension(&rest, func(e demandExtension) { m.Demands = e.Demands }) },
+		func() error {
+			var loadErr error
+			err := decodeExtension(&rest, func(e loadExtension) { loadErr = unpackLoads(e.Packed, &m) })
+			return cmp.Or(err, loadErr)
+		},
 	}
 	for _, decode := range decoders {
 		if err != nil || len(rest) == 0 {
@@ -283,20 +303,26 @@
 	return err
 }
 
-func encodeMessage(m Message) []byte {
-	body := wire.Encode(m)
-	if len(body) > MaxDatagramBytes {
-		m.Changes, m.HasChanges = nil, false
-		body = wire.Encode(m)
+// encodeMessage encodes a message without its extensions, and its loads.
+func encodeMessage(m Message) (body, packed []byte) {
+	encode := func() bool {
+		packed = packLoads(m)
+		without := m
+		without.LocalLoads, without.ReportedLoads, without.Holders = nil, nil, nil
+		body = wire.Encode(without)
+		return len(body)+len(packed) <= MaxDatagramBytes
 	}
-	for len(body) > MaxDatagramBytes && len(m.Holders)+len(m.Observations)+len(m.LocalLoads)+len(m.ReportedLoads) > 0 {
+	if encode() {
+		return body, packed
+	}
+	m.Changes, m.HasChanges = nil, false
+	for !encode() && len(m.Holders)+len(m.Observations)+len(m.LocalLoads)+len(m.ReportedLoads) > 0 {
 		m.Holders = m.Holders[:len(m.Holders)/2]
 		if len(m.Holders) == 0 {
 			m.LocalLoads, m.ReportedLoads, m.Observations = nil, nil, nil
 		}
-		body = wire.Encode(m)
 	}
-	return body
+	return body, packed
 }
 
 // Send sends an encoded heartbeat to an IP address with a port.
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
@@ -138,3 +139,31 @@
 		t.Errorf("the demands are %+v", got)
 	}
 }
+
+// TestPackedLoadsArrive checks the fields of the extension of loads, the difference between no loads and none sent, and those that earlier versions send.
+func TestPackedLoadsArrive(t *testing.T) {
+	tests := []struct {
+		name string
+		sent Message
+	}{
+		{"all", Message{
+			Running: []ServiceLoad{{Service: 1 << 31, Requests: 300}}, LocalLoads: map[engines.Key]int{1: 2, 1<<32 - 1: 3},
+			ReportedLoads: []Load{{Engine: 7, Requests: 12, Age: 600}}, Holders: []PartHolder{{Part: 1<<32 - 1, Engine: 9, Age: 1200}},
+		}},
+		{"no requests", Message{LocalLoads: map[engines.Key]int{}}},
+		{"loads left out", Message{Running: []ServiceLoad{{Service: 1, Requests: 0}}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := Decode(Encode(tt.sent))
+			if err != nil || !reflect.DeepEqual(got.Running, tt.sent.Running) || !reflect.DeepEqual(got.LocalLoads, tt.sent.LocalLoads) ||
+				!reflect.DeepEqual(got.ReportedLoads, tt.sent.ReportedLoads) || !reflect.DeepEqual(got.Holders, tt.sent.Holders) {
+				t.Errorf("got %+v, %v", got, err)
+			}
+			earlier, err := Decode(wire.Encode(tt.sent))
+			if err != nil || len(earlier.LocalLoads) != len(tt.sent.LocalLoads) || !reflect.DeepEqual(earlier.Holders, tt.sent.Holders) {
+				t.Errorf("from an earlier version: got %+v, %v", earlier, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/connection/heartbeat/packedloads.go
@@ -0,0 +1,126 @@
+package heartbeat
+
+import (
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/placing"
+	"github.com/vanillaroute/vanillaroute/version/engines"
+)
+
+const (
+	// packedAgeMillis is the precision of the ages in packed loads. Ages up to half a second take one byte.
+	packedAgeMillis = 4
+	// keyBytes is the size of a packed key.
+	keyBytes = 4
+)
+
+// errPackedLoads is returned for malformed packed loads.
+var errPackedLoads = errors.New("malformed loads")
+
+// loadReader reads packed loads. After an error it returns zeros.
+type loadReader struct {
+	packed []byte
+	failed bool
+}
+
+// packLoads encodes Running, LocalLoads, ReportedLoads and Holders of a message, or returns nil if there are none.
+func packLoads(m Message) []byte {
+	if m.LocalLoads == nil && len(m.Running)+len(m.ReportedLoads)+len(m.Holders) == 0 {
+		return nil
+	}
+	packed := binary.AppendUvarint(nil, uint64(len(m.Running)))
+	for _, l := range m.Running {
+		packed = appendCount(binary.BigEndian.AppendUint32(packed, uint32(l.Service)), l.Requests)
+	}
+	// 0 says that the loads are left out.
+	if m.LocalLoads == nil {
+		packed = append(packed, 0)
+	} else {
+		packed = binary.AppendUvarint(packed, uint64(len(m.LocalLoads))+1)
+	}
+	for _, k := range slices.Sorted(maps.Keys(m.LocalLoads)) {
+		packed = appendCount(binary.BigEndian.AppendUint32(packed, uint32(k)), m.LocalLoads[k])
+	}
+	packed = binary.AppendUvarint(packed, uint64(len(m.ReportedLoads)))
+	for _, l := range m.ReportedLoads {
+		packed = appendAge(appendCount(binary.BigEndian.AppendUint32(packed, uint32(l.Engine)), l.Requests), l.Age)
+	}
+	packed = binary.AppendUvarint(packed, uint64(len(m.Holders)))
+	for _, h := range m.Holders {
+		packed = binary.BigEndian.AppendUint32(packed, uint32(h.Part))
+		packed = appendAge(binary.BigEndian.AppendUint32(packed, uint32(h.Engine)), h.Age)
+	}
+	return packed
+}
+
+// unpackLoads sets the fields that packLoads encodes. It fails on malformed input.
+func unpackLoads(packed []byte, m *Message) error {
+	r := &loadReader{packed: packed}
+	for range r.length() {
+		m.Running = append(m.Running, ServiceLoad{Service: ident.ServiceID(r.key()), Requests: r.count()})
+	}
+	if n := r.length(); n > 0 {
+		m.LocalLoads = make(map[engines.Key]int, n-1)
+		for range n - 1 {
+			key := engines.Key(r.key())
+			m.LocalLoads[key] = r.count()
+		}
+	}
+	for range r.length() {
+		m.ReportedLoads = append(m.ReportedLoads, Load{Engine: engines.Key(r.key()), Requests: r.count(), Age: r.age()})
+	}
+	for range r.length() {
+		m.Holders = append(m.Holders, PartHolder{Part: placing.PartID(r.key()), Engine: engines.Key(r.key()), Age: r.age()})
+	}
+	if r.failed || len(r.packed) > 0 {
+		return errPackedLoads
+	}
+	return nil
+}
+
+func appendCount(to []byte, count int) []byte { return binary.AppendUvarint(to, uint64(max(count, 0))) }
+
+func appendAge(to []byte, age Millis) []byte {
+	return binary.AppendUvarint(to, uint64(max(age, 0)/packedAgeMillis))
+}
+
+func (r *loadReader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.packed)
+	if r.failed || n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.packed = r.packed[n:]
+	return v
+}
+
+// length returns the length of a list, each element of which takes a byte or more.
+func (r *loadReader) length() int {
+	n := r.uvarint()
+	if n > uint64(len(r.packed))+1 {
+		r.failed = true
+		return 0
+	}
+	return int(n)
+}
+
+func (r *loadReader) key() uint32 {
+	if r.failed || len(r.packed) < keyBytes {
+		r.failed = true
+		return 0
+	}
+	key := binary.BigEndian.Uint32(r.packed)
+	r.packed = r.packed[keyBytes:]
+	return key
+}
+
+func (r *loadReader) count() int { return int(min(r.uvarint(), math.MaxInt32)) }
+
+func (r *loadReader) age() Millis {
+	return Millis(min(r.uvarint(), math.MaxInt32) * packedAgeMillis)
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -24,6 +25,8 @@
 	Model string
 	// Service identifies a service that requests are forwarded to: a service without a model, or a group of engines.
 	Service string
+	// ServiceID identifies a service in messages between instances. It is a 32-bit hash of the Service.
+	ServiceID uint32
 	// Domain identifies a failure domain.
 	Domain string
 	// Chat identifies a conversation whose prompt prefix may be cached on an engine.
@@ -47,6 +50,9 @@
 	Offset  int
 }
 
+// ID returns the service's ServiceID.
+func (s Service) ID() ServiceID { return ServiceID(xxhash.Sum64String(string(s))) }
+
 // NewRequest returns a random request identifier.
 func NewRequest() Request {
 	var raw [requestBytes]byte
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -26,8 +26,10 @@
 	Suspects
 	// Demands is the routes and organisations of services that have too many requests.
 	Demands
-	// ModelLoads is the part of heartbeats that is left out first, such as loads.
+	// ModelLoads is the loads of engines in heartbeats.
 	ModelLoads
+	// Holders is the part of heartbeats that is left out first: which engines hold which parts of prompts, and evidence on crashes.
+	Holders
 	// AllowanceShares is requests for shares of an allowance and notices of overflowed chats.
 	AllowanceShares
 	kindCount
@@ -55,7 +57,7 @@
 )
 
 // reserves holds the share of the burst that each kind must leave to the other kinds.
-var reserves = [kindCount]float64{0, 0, 0.1, 0.2, 0.2, 0.3, 0.2}
+var reserves = [kindCount]float64{Membership: 0.1, Suspects: 0.2, Demands: 0.2, ModelLoads: 0.25, Holders: 0.3, AllowanceShares: 0.2}
 
 // New returns a budget with a full bucket.
 func New(now time.Time) *Budget {
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/heartbeat"
+	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
 	"github.com/vanillaroute/vanillaroute/process/budget"
 	"github.com/vanillaroute/vanillaroute/request/placing"
@@ -158,7 +159,16 @@
 	}
 	n.members.MergeObservations(n.decodeObservations(b.Observations), now)
 	wall := time.Now()
-	n.table.SetRemoteLoads(b.PeerAddress, b.LocalLoads, wall)
+	if b.LocalLoads != nil {
+		n.table.SetRemoteLoads(b.PeerAddress, b.LocalLoads, wall)
+	}
+	if len(b.Running) > 0 {
+		running := make(map[ident.ServiceID]int, len(b.Running))
+		for _, l := range b.Running {
+			running[l.Service] = l.Requests
+		}
+		n.table.MergeRunning(running, wall)
+	}
 	loads := make([]placing.Load, len(b.ReportedLoads))
 	for i, l := range b.ReportedLoads {
 		loads[i] = placing.Load{Engine: l.Engine, Requests: l.Requests, At: wall.Add(-l.Age.Duration())}
@@ -267,6 +277,9 @@
 // withLoads adds the loads and the back-offs of engines that this instance knows to a message.
 func (n *Instance) withLoads(b heartbeat.Message) heartbeat.Message {
 	wall := time.Now()
+	for service, requests := range n.table.Running(wall) {
+		b.Running = append(b.Running, heartbeat.ServiceLoad{Service: service, Requests: requests})
+	}
 	b.LocalLoads = n.table.LocalLoads(wall)
 	for _, l := range n.table.ReportedLoads(wall.Add(-reportedLoadSpan), reportedLoadsPerMessage) {
 		b.ReportedLoads = append(b.ReportedLoads, heartbeat.Load{Engine: l.Engine, Requests: l.Requests, Age: heartbeat.MillisOf(wall.Sub(l.At))})
@@ -293,25 +306,41 @@
 	return observations
 }
 
-// send sends a heartbeat if the control budget covers it. If the budget covers only a part, it leaves out the loads, holders and evidence on crashes, and
-// then the routes and organisations of demands.
+// send sends a heartbeat if the control budget covers it.
 func (n *Instance) send(to string, b heartbeat.Message, kind budget.Kind) {
-	whole := heartbeat.Encode(b)
-	b.LocalLoads, b.ReportedLoads, b.Holders, b.Requests, b.Parts, b.Ends = nil, nil, nil, nil, nil, nil
-	withDemands := heartbeat.Encode(b)
-	b.Demands = heartbeat.WithoutClasses(b.Demands)
-	body := heartbeat.Encode(b)
-	now := time.Now()
-	if !n.controlBudget.Spend(kind, len(body), now) {
-		return
+	if body, ok := fitBudget(n.controlBudget, b, kind, time.Now()); ok {
+		n.transmit(to, body)
 	}
-	if n.controlBudget.Spend(budget.Demands, len(withDemands)-len(body), now) {
-		body = withDemands
-		if n.controlBudget.Spend(budget.ModelLoads, len(whole)-len(withDemands), now) {
-			body = whole
+}
+
+// fitBudget encodes a heartbeat, and returns false if the budget does not cover it. If the budget covers only a part, it leaves out the holders and evidence on
+// crashes, then the loads of engines, and then the routes and organisations of demands.
+func fitBudget(control *budget.Budget, b heartbeat.Message, kind budget.Kind, now time.Time) ([]byte, bool) {
+	smallest := b
+	smallest.LocalLoads, smallest.ReportedLoads, smallest.Holders, smallest.Requests, smallest.Parts, smallest.Ends = nil, nil, nil, nil, nil, nil
+	smallest.Demands = heartbeat.WithoutClasses(b.Demands)
+	body := heartbeat.Encode(smallest)
+	if !control.Spend(kind, len(body), now) {
+		return nil, false
+	}
+	additions := []struct {
+		kind budget.Kind
+		add  func(m *heartbeat.Message)
+	}{
+		{budget.Demands, func(m *heartbeat.Message) { m.Demands = b.Demands }},
+		{budget.ModelLoads, func(m *heartbeat.Message) { m.LocalLoads, m.ReportedLoads = b.LocalLoads, b.ReportedLoads }},
+		{budget.Holders, func(m *heartbeat.Message) {
+			m.Holders, m.Requests, m.Parts, m.Ends = b.Holders, b.Requests, b.Parts, b.Ends
+		}},
+	}
+	for _, a := range additions {
+		larger := smallest
+		a.add(&larger)
+		if whole := heartbeat.Encode(larger); control.Spend(a.kind, len(whole)-len(body), now) {
+			smallest, body = larger, whole
 		}
 	}
-	n.transmit(to, body)
+	return body, true
 }
 
 // sendWhole sends an encoded heartbeat if the control budget covers all of it, and reports whether it does.
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -47,9 +47,6 @@
 		Priority routing.Priority
 	}
 
-	// ServiceID identifies a service among instances.
-	ServiceID uint32
-
 	// Request describes a request to a plain service.
 	Request struct {
 		Service             ident.Service
@@ -75,7 +72,7 @@
 
 	// Demand is what an instance sees of a service on average, as one instance estimates it. The counts decay as in package decay.
 	Demand struct {
-		Service           ServiceID
+		Service           ident.ServiceID
 		Arrivals, Answers float64
 		// AnswerTime is the sum of the times that the answers took.
 		AnswerTime time.Duration
@@ -92,7 +89,7 @@
 	// Controller decides for one instance. It is safe for concurrent use.
 	Controller struct {
 		mu       sync.Mutex
-		services map[ServiceID]*service
+		services map[ident.ServiceID]*service
 		// heard counts the messages of other instances.
 		heard decay.Count
 	}
@@ -117,7 +114,7 @@
 
 // New returns a controller that has seen no request.
 func New() *Controller {
-	return &Controller{services: make(map[ServiceID]*service)}
+	return &Controller{services: make(map[ident.ServiceID]*service)}
 }
 
 // NewClass returns the class of the requests of a priority on a route, or of an organisation, with that name.
@@ -125,14 +122,12 @@
 	return Class{ID: ClassID(xxhash.Sum64String(string(name))), Priority: p}
 }
 
-func newServiceID(s ident.Service) ServiceID { return ServiceID(xxhash.Sum64String(string(s))) }
-
 // Admit counts a request and decides whether it is offered to engines. While the service's engines have more requests than slots, all instances
 // together admit about as many as were answered lately, and fewer if the answers took too long.
 func (c *Controller) Admit(r Request, now time.Time) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	id := newServiceID(r.Service)
+	id := r.Service.ID()
 	s := c.service(id)
 	s.own.arrivals.Add(1, now)
 	s.own.routes.count(r.Route).Add(1, now)
@@ -172,7 +167,7 @@
 func (c *Controller) Answered(name ident.Service, took time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.service(newServiceID(name))
+	s := c.service(name.ID())
 	s.own.answers.Add(1, now)
 	s.own.answerSeconds.Add(took.Seconds(), now)
 }
@@ -195,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heard.Add(1, now)
-	sent := make(map[ServiceID]Demand, len(list))
+	sent := make(map[ident.ServiceID]Demand, len(list))
 	for _, d := range list {
 		sent[d.Service] = d
 		c.service(d.Service)
@@ -225,7 +220,7 @@
 	}
 }
 
-func (c *Controller) service(id ServiceID) *service {
+func (c *Controller) service(id ident.ServiceID) *service {
 	s, ok := c.services[id]
 	if !ok {
 		s = &service{own: newCounts(), fleet: newCounts()}
@@ -237,7 +232,7 @@
 func newCounts() counts { return counts{routes: make(classes), organisations: make(classes)} }
 
 // demand returns the counts as they are shared, with routes and organisations if these are wanted.
-func (c *counts) demand(id ServiceID, withClasses bool, now time.Time) Demand {
+func (c *counts) demand(id ident.ServiceID, withClasses bool, now time.Time) Demand {
 	d := Demand{
 		Service: id, Arrivals: c.arrivals.At(now), Answers: c.answers.At(now), AnswerTime: time.Duration(c.answerSeconds.At(now) * float64(time.Second)),
 	}
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -42,6 +42,8 @@
 	failurePenaltyLoad = 12
 	domainPenaltyLoad  = 0.3
 	jitterLoad         = 0.5
+	// usualWeight is the weight of the usual load in an estimate, relative to that of the counts of one instance.
+	usualWeight = 2
 	// rateSmoothing is the weight of one sample in the measured prefill rate. Prompts of up to minRateTokens are not sampled.
 	rateSmoothing = 0.1
 	minRateTokens = 1000
@@ -95,6 +97,7 @@
 	Placement struct {
 		table         *Table
 		key           engines.Key
+		service       ident.ServiceID
 		prefillTokens int
 		startedAt     time.Time
 		ended         bool
@@ -107,7 +110,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := all.OfService(r.Service)
-	loads, mean := t.loads(list, r.Instances-1, now)
+	loads, mean := t.loads(list, r, now)
 	holders := t.prefixHolders(all, r.Parts, now)
 	shared := sharedTokens(r.Parts)
 	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
@@ -215,14 +218,18 @@
 	p.ended = true
 	s := p.table.engineState(p.key)
 	s.running--
+	p.table.service(p.service).own--
 	s.prefillTokens -= p.prefillTokens
 }
 
 func (t *Table) place(c Choice, r Request, now time.Time) *Placement {
 	key := c.Engine.Key
-	placement := &Placement{table: t, key: key, prefillTokens: totalTokens(r.Parts) - c.CachedTokens - c.FetchedTokens, startedAt: now}
+	placement := &Placement{table: t, key: key, service: r.Service.ID(), prefillTokens: totalTokens(r.Parts) - c.CachedTokens - c.FetchedTokens, startedAt: now}
 	s := t.engineState(key)
 	s.running++
+	service := t.service(placement.service)
+	service.own++
+	service.usedAt = now
 	s.sentSinceLatest++
 	if s.limit.inForce(now) {
 		s.limit.take()
@@ -248,46 +255,32 @@
 }
 
 // loads returns the estimated number of requests at each engine and their mean. The older a reported load is, the less it says about
-// the current one, so its weight shifts to the mean of all reported loads.
-func (t *Table) loads(list []engines.Engine, others int, now time.Time) ([]int, float64) {
-	meanReported := t.meanReportedLoad(list, now)
+// the current one, so its weight shifts to this instance's own requests there and the usual number of those of others.
+func (t *Table) loads(list []engines.Engine, r Request, now time.Time) ([]int, float64) {
+	usualOfOthers := t.usualLoad(r, len(list), now)
 	loads := make([]int, len(list))
 	sum := 0
 	for i, e := range list {
 		s := t.engineState(e.Key)
-		if w := s.latestLoadWeight(now); w > 0 {
-			usual := meanReported
+		if now.Sub(s.latestLoadAt) >= reportTTL {
+			loads[i] = s.running + int(math.Round(t.remoteLoad(e.Key, r.Instances-1, usualOfOthers, now)))
+		} else {
+			usual := usualOfOthers + float64(s.running)
 			if s.limit.inForce(now) {
 				// Its load does not rise with those of the engines that take what exceeds its limit.
 				usual = min(usual, float64(s.latestLoad))
 			}
-			loads[i] = int(math.Round(w*float64(s.latestLoad)+(1-w)*usual)) + s.sentSinceLatest
-		} else {
-			loads[i] = s.running + int(math.Round(t.remoteLoad(e.Key, others, now)))
+			w := s.latestLoadWeight(now)
+			loads[i] = int(math.Round(w*float64(s.latestLoad+s.sentSinceLatest) + (1-w)*usual))
 		}
 		sum += loads[i]
 	}
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
-// meanReportedLoad returns the mean of the reported loads, with a higher weight for recent ones.
-func (t *Table) meanReportedLoad(list []engines.Engine, now time.Time) float64 {
-	sum, weights := 0.0, 0.0
-	for _, e := range list {
-		s := t.engineState(e.Key)
-		w := s.latestLoadWeight(now)
-		sum += w * float64(s.latestLoad)
-		weights += w
-	}
-	if weights == 0 {
-		return 0
-	}
-	return sum / weights
-}
-
-// remoteLoad estimates the requests of other instances at an engine that does not report its load. It scales the counts of the
-// instances that have sent them recently to all other instances.
-func (t *Table) remoteLoad(key engines.Key, others int, now time.Time) float64 {
+// remoteLoad estimates the requests of other instances at an engine that has not reported its load lately. It scales the counts of the
+// instances that have sent them recently to all others. The fewer of the others these are, the more it relies on the usual number.
+func (t *Table) remoteLoad(key engines.Key, others int, usual float64, now time.Time) float64 {
 	sum, reporting := 0, 0
 	for _, r := range t.remote {
 		if now.Sub(r.at) < remoteLoadTTL {
@@ -295,7 +288,12 @@
 			reporting++
 		}
 	}
-	return float64(sum) * float64(max(others, reporting)) / float64(max(reporting, 1))
+	if reporting >= others {
+		return float64(sum)
+	}
+	scaled := float64(sum) * float64(others) / float64(max(reporting, 1))
+	weight := usualWeight * float64(others-reporting) / float64(others)
+	return (scaled*float64(reporting) + usual*weight) / (float64(reporting) + weight)
 }
 
 func (t *Table) cost(e engines.Engine, s *engineState, r Request, holders prefixHolders, load int, now time.Time) Choice {
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -26,6 +26,8 @@
 		cold bool
 		// slowestFactor is the duration of work at the slowest engine relative to the fastest; engines do not report their slowness.
 		slowestFactor float64
+		// withoutLoads is the share of messages without loads and holders, because the control budget does not cover them.
+		withoutLoads float64
 		// burstSize is the number of requests that arrive together. Bursts are rarer accordingly, so requestsPerSecond stays the mean rate.
 		burstSize float64
 	}
@@ -161,6 +163,10 @@
 				// Heartbeats carry loads and holders, their answers loads only.
 				for message := range 2 * fanOut {
 					to := tables[draws.IntN(len(tables))]
+					to.MergeRunning(from.Running(now), now)
+					if draws.Float64() < w.withoutLoads {
+						continue
+					}
 					to.SetRemoteLoads(fmt.Sprint("instance-", i), from.LocalLoads(now), now)
 					to.MergeReportedLoads(from.ReportedLoads(now.Add(-600*time.Millisecond), maxLoads))
 					if message < fanOut {
@@ -212,6 +218,8 @@
 		{"89 instances, a quarter become about one subject in bursts", workload{instances: 89, engines: 140, requestsPerSecond: 740, hotShare: 0.25, hotFrom: 5 * time.Second, subjects: 1250, generationTime: 400 * time.Millisecond, slowestFactor: 2.5, burstSize: 3}, 0.9},
 		{"89 instances, all cold, a seventh about one subject", workload{instances: 89, engines: 140, requestsPerSecond: 740, hotShare: 0.14, subjects: 1250, generationTime: 300 * time.Millisecond, cold: true, slowestFactor: 2.5, burstSize: 3}, 0.9},
 		{"nine instances, all cold", workload{instances: 9, engines: 9, requestsPerSecond: 60, subjects: 100, generationTime: 600 * time.Millisecond, cold: true, slowestFactor: 2.5, burstSize: 3}, 0.9},
+		{"89 instances, long answers, loads in a quarter of the messages", workload{instances: 89, engines: 196, requestsPerSecond: 840, subjects: 1500, generationTime: 800 * time.Millisecond, slowestFactor: 1.3, withoutLoads: 0.75}, 0.95},
+		{"295 instances, long answers, loads in a quarter of the messages", workload{instances: 295, engines: 320, requestsPerSecond: 1350, subjects: 2500, generationTime: 800 * time.Millisecond, slowestFactor: 1.3, withoutLoads: 0.75}, 0.95},
 		{"77 instances, few subjects", workload{instances: 77, engines: 140, requestsPerSecond: 800, hotShare: 0.05, subjects: 60, generationTime: 800 * time.Millisecond}, 0.95},
 	}
 	for _, tt := range tests {
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -85,7 +85,9 @@
 		policy  Policy
 		engines map[engines.Key]*engineState
 		remote  map[string]remoteLoads
-		parts   *simplelru.LRU[PartID, *partState]
+		// services holds the requests in progress at each service.
+		services map[ident.ServiceID]*serviceRunning
+		parts    *simplelru.LRU[PartID, *partState]
 		// requests counts the requests for parts, by this instance and by those that have sent theirs.
 		requests decay.Count
 		// recent are the holders that this instance has recorded from its own requests, oldest first.
@@ -148,7 +150,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Table{policy: p, engines: make(map[engines.Key]*engineState), remote: make(map[string]remoteLoads), parts: parts, surgeStarted: make(chan struct{}, 1), prefillRate: initialRate}
+	return &Table{policy: p, engines: make(map[engines.Key]*engineState), remote: make(map[string]remoteLoads), services: make(map[ident.ServiceID]*serviceRunning), parts: parts, surgeStarted: make(chan struct{}, 1), prefillRate: initialRate}
 }
 
 // SetPolicy replaces the policy for later choices.
@@ -185,13 +187,13 @@
 	return slots
 }
 
-// LocalLoads returns the number of requests of this instance at each engine that does not report its load.
+// LocalLoads returns the number of requests of this instance at each engine that has not reported its load lately.
 func (t *Table) LocalLoads(now time.Time) map[engines.Key]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads := make(map[engines.Key]int)
 	for k, s := range t.engines {
-		if s.running > 0 && now.Sub(s.latestLoadAt) > reportTTL {
+		if s.running > 0 && now.Sub(s.latestLoadAt) >= reportTTL {
 			loads[k] = s.running
 		}
 	}
@@ -342,6 +344,7 @@
 			delete(t.remote, id)
 		}
 	}
+	t.pruneServices(now)
 }
 
 func (t *Table) engineState(k engines.Key) *engineState {
@@ -391,12 +394,9 @@
 	s.latestLoad, s.latestLoadAt, s.sentSinceLatest = requests, at, 0
 }
 
-// latestLoadWeight returns the weight of the latest reported load, from 1 for a new one to 0 after reportTTL.
+// latestLoadWeight returns the weight of the latest reported load, from 1 for a new one towards 0.
 func (s *engineState) latestLoadWeight(now time.Time) float64 {
 	age := now.Sub(s.latestLoadAt)
-	if age >= reportTTL {
-		return 0
-	}
 	return math.Exp(-max(age, 0).Seconds() / loadDecayTime.Seconds())
 }
 
