--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -25,6 +25,8 @@
 	// control budget did not cover one.
 	newsPause      = 20 * time.Millisecond
 	newsRetryPause = 250 * time.Millisecond
+	// newsMessageBytes is what a message with a few news takes.
+	newsMessageBytes = 200
 	// newsBytes bounds what a message of news holds, so that it fits in a packet. More news follows in further messages. endBytes, evidenceBytes and
 	// crashBytes are the most that the end of an engine, evidence and each crash in it take.
 	newsBytes     = 1000
@@ -65,6 +67,10 @@
 			return ctx.Err()
 		case <-n.crashes.Changed():
 		}
+		// While much of the share is used, more news shares a message.
+		if !pause.For(ctx, n.controlBudget.UntilShared(budget.News, newsFanOut*newsMessageBytes, time.Now())) {
+			break
+		}
 		wait = newsPause
 		shared := news{ends: n.crashes.TakeEnds()}
 		var firstRequests, firstParts []suspects.Evidence
@@ -98,7 +104,7 @@
 	requests := l.requests
 	l.requests = nil
 	if !l.isEmpty() {
-		n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.Urgent)
+		n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.News)
 	}
 	l = news{requests: requests}
 	if !l.isEmpty() && !n.sendWhole(peer, heartbeat.Encode(n.newsMessage(l)), budget.Suspects) {
--- a/process/entry/evidence_test.go
+++ b/process/entry/evidence_test.go
@@ -118,3 +118,40 @@
 		})
 	}
 }
+
+// TestNewsOfEndsLeavesBudgetForLoads guards against engines that end together: all instances find that, each tells others, and nothing is left for the loads of
+// the engines that are still there.
+func TestNewsOfEndsLeavesBudgetForLoads(t *testing.T) {
+	const (
+		span, step = 6 * time.Second, newsPause
+		loadBytes  = 80
+	)
+	start := time.Unix(1000, 0)
+	control := budget.New(start)
+	body := make([]byte, 95)
+	covered, asked, told := 0, 0, 0
+	var readyAt time.Time
+	for at := time.Duration(0); at < span; at += step {
+		now := start.Add(at)
+		// Each end is found or heard of several times in the first seconds.
+		if at < span/2 && !now.Before(readyAt) {
+			for range newsFanOut {
+				if control.Spend(budget.News, len(body), now) {
+					told++
+				}
+			}
+			readyAt = now.Add(max(newsPause, control.UntilShared(budget.News, newsFanOut*newsMessageBytes, now)))
+		}
+		if at%heartbeatPeriod == 0 {
+			for range 2 * heartbeatFanOut {
+				asked++
+				if control.Spend(budget.Membership, 125, now) && control.Spend(budget.ModelLoads, loadBytes, now) {
+					covered++
+				}
+			}
+		}
+	}
+	if covered < asked || told < 2*newsFanOut {
+		t.Errorf("the budget covers the loads of %d of %d heartbeats; %d messages of news", covered, asked, told)
+	}
+}
