fix(forward): Retry-After of full engines follows how long answers take

Cause: requests to a plain service that full engines refuse got a constant 0.3 s. Change: they get the mean time of recent answers, after which the engines have answered what waits there; 0.3 s only while that is not known.

Measured: TestFullEnginesAreAskedAgainOnceTheyHaveAnswered, before 0.300 with answers of 1 and of 150 ms; after 50 to 100 and 140 to 290 ms.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -88,6 +89,9 @@
 		answeringSince time.Time
 		// acceptedIn is the time until an engine accepts the request, if limits or pauses that engines name, or too many requests, are why it is refused.
 		acceptedIn time.Duration
+		// expectedTime is how long recent answers of the service took, or 0 if that is not known. Requests that are refused now may come back after it: the
+		// engines have then answered what waits there.
+		expectedTime time.Duration
 		// retryReserved says that the retry was already taken from the budget when the last attempt was abandoned.
 		retryReserved atomic.Bool
 		// sends counts the attempts that reached an engine, and runs those that the engine may have run.
@@ -180,6 +184,7 @@
 		Target: x.route.TargetFirstByte, Slots: x.Table.Slots(x.snapshot.Engines, r.Service, now), Instances: x.snapshot.Instances,
 	}, now)
 	if decision.Admitted {
+		x.expectedTime = decision.ExpectedTime
 		return true
 	}
 	x.acceptedIn, x.verdict = decision.RetryAfter, "the service has more requests than it can answer in time"
@@ -429,8 +434,8 @@
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterCulprit
 	case x.runs == 0:
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterOverload
-		if x.acceptedIn > 0 {
-			refused.retryAfter = min(max(x.acceptedIn, retryAfterOtherInstance), retryAfterLimit)
+		if wait := cmp.Or(x.acceptedIn, x.expectedTime); wait > 0 {
+			refused.retryAfter = min(max(wait, retryAfterOtherInstance), retryAfterLimit)
 		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
 		refused.status, refused.reason = http.StatusGatewayTimeout, "the time allowed has passed"
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -20,7 +20,7 @@
 	// retryAfterOtherInstance is the Retry-After if this instance's configuration is missing or too old, but another instance may serve
 	// the request.
 	retryAfterOtherInstance = 50 * time.Millisecond
-	// retryAfterOverload is the Retry-After if all engines are full or unreachable.
+	// retryAfterOverload is the Retry-After if all engines are full or unreachable and it is not known how long answers take.
 	retryAfterOverload = 300 * time.Millisecond
 	// retryAfterLimit is the longest Retry-After if the engines are at their limits: another instance may have room earlier.
 	retryAfterLimit = time.Second
