perf(placing): counts of other instances are added up once for a choice

Cause: for each engine that has not reported its load lately, a choice looked it up in the counts of each instance, and looked up each engine's state four times. Change: the counts are added up first, and the states looked up once.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -110,15 +110,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := all.OfService(r.Service)
-	loads, mean := t.loads(list, r, now)
+	states := make([]*engineState, len(list))
+	for i, e := range list {
+		states[i] = t.engineState(e.Key)
+	}
+	loads, mean := t.loads(list, states, r, now)
 	holders := t.prefixHolders(all, r.Parts, now)
 	shared := sharedTokens(r.Parts)
 	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
-	usual := max(mean, t.meanLoadOf(list, loads, func(s *engineState) bool { return !s.limit.inForce(now) }))
+	usual := max(mean, meanLoadOf(states, loads, func(s *engineState) bool { return !s.limit.inForce(now) }))
 	// crowded says that the engines without a limit together are over the load bound.
 	crowded := usual > t.policy.LoadBound*mean+loadAllowance
 	// The same holds for those that accept requests while others do not.
-	usual = max(usual, t.meanLoadOf(list, loads, func(s *engineState) bool { return s.accepts(now) }))
+	usual = max(usual, meanLoadOf(states, loads, func(s *engineState) bool { return s.accepts(now) }))
 	limit := t.policy.LoadBound*usual + loadAllowance
 	// Other instances decide on the same loads. Each draws its own limit, so that the probability of avoiding an engine grows with its load.
 	limit -= rand.Float64() * max(limit-softBound*usual-softAllowance, 0)
@@ -131,7 +135,7 @@
 		if slices.Contains(r.Tried, e.ID) {
 			continue
 		}
-		s := t.engineState(e.Key)
+		s := states[i]
 		room := t.roomAt(e.Key, s, now)
 		if !s.accepts(now) || room == noRoom || (crowded && e.Slots > 0 && loads[i] >= e.Slots) {
 			continue
@@ -256,14 +260,15 @@
 
 // loads returns the estimated number of requests at each engine and their mean. The older a reported load is, the less it says about
 // the current one, so its weight shifts to this instance's own requests there and the usual number of those of others.
-func (t *Table) loads(list []engines.Engine, r Request, now time.Time) ([]int, float64) {
+func (t *Table) loads(list []engines.Engine, states []*engineState, r Request, now time.Time) ([]int, float64) {
 	usualOfOthers := t.usualLoad(r, len(list), now)
+	counts, reporting := t.remoteCounts(now)
 	loads := make([]int, len(list))
 	sum := 0
 	for i, e := range list {
-		s := t.engineState(e.Key)
+		s := states[i]
 		if now.Sub(s.latestLoadAt) >= reportTTL {
-			loads[i] = s.running + int(math.Round(t.remoteLoad(e.Key, r.Instances-1, usualOfOthers, now)))
+			loads[i] = s.running + int(math.Round(remoteLoad(counts[e.Key], reporting, r.Instances-1, usualOfOthers)))
 		} else {
 			usual := usualOfOthers + float64(s.running)
 			if s.limit.inForce(now) {
@@ -278,16 +283,24 @@
 	return loads, float64(sum) / float64(max(len(list), 1))
 }
 
-// remoteLoad estimates the requests of other instances at an engine that has not reported its load lately. It scales the counts of the
-// instances that have sent them recently to all others. The fewer of the others these are, the more it relies on the usual number.
-func (t *Table) remoteLoad(key engines.Key, others int, usual float64, now time.Time) float64 {
-	sum, reporting := 0, 0
+// remoteCounts returns the sums of the counts that other instances have sent recently, by engine, and the number of these instances.
+func (t *Table) remoteCounts(now time.Time) (counts map[engines.Key]int, reporting int) {
+	counts = make(map[engines.Key]int)
 	for _, r := range t.remote {
-		if now.Sub(r.at) < remoteLoadTTL {
-			sum += r.loads[key]
-			reporting++
+		if now.Sub(r.at) >= remoteLoadTTL {
+			continue
+		}
+		reporting++
+		for key, requests := range r.loads {
+			counts[key] += requests
 		}
 	}
+	return counts, reporting
+}
+
+// remoteLoad estimates the requests of other instances at an engine that has not reported its load lately. It scales the sum of the
+// counts of the reporting instances to all others. The fewer of the others these are, the more it relies on the usual number.
+func remoteLoad(sum, reporting, others int, usual float64) float64 {
 	if reporting >= others {
 		return float64(sum)
 	}
--- a/request/placing/limit.go
+++ b/request/placing/limit.go
@@ -147,10 +147,10 @@
 }
 
 // meanLoadOf returns the mean load of the engines for which counts returns true, or 0 if it does for none.
-func (t *Table) meanLoadOf(list []engines.Engine, loads []int, counts func(*engineState) bool) float64 {
+func meanLoadOf(states []*engineState, loads []int, counts func(*engineState) bool) float64 {
 	sum, count := 0, 0
-	for i, e := range list {
-		if counts(t.engineState(e.Key)) {
+	for i, s := range states {
+		if counts(s) {
 			sum += loads[i]
 			count++
 		}
