--- a/cmd/endless_test.go
+++ b/cmd/endless_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/platform"
 	"github.com/vanillaroute/vanillaroute/platform/standin"
@@ -41,6 +42,7 @@
 	t       *testing.T
 	network *loopback.Network
 	process *exec.Cmd
+	names   forward.HeaderNames
 	// faulty serves everything that is asked of the faulty engine. storeFails makes the store answer without end.
 	faulty     http.HandlerFunc
 	storeFails atomic.Bool
@@ -53,9 +55,11 @@
 // requests of other callers are answered meanwhile.
 func TestEndlessBytesStayWithinTheMemoryOfASmallMachine(t *testing.T) {
 	const (
-		head    = "HTTP/1.1 200 OK\r\nVanillaroute-Response-Seal: seal\r\nVanillaroute-Request-Id: "
+		ok      = "HTTP/1.1 200 OK\r\n"
 		chunked = "\r\nTransfer-Encoding: chunked\r\n\r\n"
 	)
+	names := platform.New("").Names
+	head := ok + names.ResponseSeal + ": seal\r\n" + names.RequestID + ": "
 	page := strings.Repeat("x", endlessPage)
 	chunk := "1000\r\n" + page + "\r\n"
 	event := "data: " + page[:endlessPage-len("data: \n\n")] + "\n\n"
@@ -64,7 +68,7 @@
 			f.faulty = func(w http.ResponseWriter, r *http.Request) {
 				beginning := beginning
 				if strings.HasPrefix(beginning, head) {
-					beginning = head + r.Header.Get("Vanillaroute-Request-Id") + strings.TrimPrefix(beginning, head)
+					beginning = head + r.Header.Get(names.RequestID) + strings.TrimPrefix(beginning, head)
 				}
 				sendEndlessly(w, beginning, chunk)
 			}
@@ -87,11 +91,11 @@
 		{name: "body until the connection closes", arrange: toEngine(head+"\r\n\r\n", page), path: "/once/"},
 		{name: "chunks", arrange: toEngine(head+chunked, chunk), path: "/once/"},
 		{name: "body of 9 TB", arrange: toEngine(head+"\r\nContent-Length: 9000000000000\r\n\r\n", page), path: "/once/"},
-		{name: "refusal", arrange: toEngine("HTTP/1.1 503 Full\r\nVanillaroute-Not-Executed: 1\r\nVanillaroute-Request-Id: x"+chunked, chunk), path: "/once/"},
+		{name: "refusal", arrange: toEngine("HTTP/1.1 503 Full\r\n"+names.NotRun+": 1\r\n"+names.RequestID+": x"+chunked, chunk), path: "/once/"},
 		{name: "one event", arrange: toEngine(head+chunked, chunk), path: "/stream/"},
 		{name: "events", arrange: toEngine(head+"\r\n\r\n", event), path: "/stream/"},
 		{name: "bodies of requests", arrange: toEngine("", page), path: "/once/", bodyBytes: 6 << 20},
-		{name: "cached parts", arrange: toEngine("HTTP/1.1 200 OK"+chunked, "1000\r\n"+strings.Repeat(`["","a",1,"m"],`, endlessPage)[:endlessPage]+"\r\n"), restarted: true},
+		{name: "cached parts", arrange: toEngine(strings.TrimSpace(ok)+chunked, "1000\r\n"+strings.Repeat(`["","a",1,"m"],`, endlessPage)[:endlessPage]+"\r\n"), restarted: true},
 		{name: "store", disturb: func(f *endlessFixture) {
 			f.storeFails.Store(true)
 			time.Sleep(endlessPatience)
@@ -159,7 +163,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = network.Close() })
-	f := &endlessFixture{t: t, network: network, sends: make(map[string]int)}
+	f := &endlessFixture{t: t, network: network, names: platform.New("").Names, sends: make(map[string]int)}
 	if arrange != nil {
 		arrange(f)
 	}
@@ -174,13 +178,13 @@
 	}
 	f.register(store, "faulty", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		f.sends[r.Header.Get("Vanillaroute-Request-Id")]++
+		f.sends[r.Header.Get(f.names.RequestID)]++
 		f.mu.Unlock()
 		f.faulty(w, r)
 	}))
 	f.register(store, "sound", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Vanillaroute-Request-Id", r.Header.Get("Vanillaroute-Request-Id"))
-		w.Header().Set("Vanillaroute-Response-Seal", "seal")
+		w.Header().Set(f.names.RequestID, r.Header.Get(f.names.RequestID))
+		w.Header().Set(f.names.ResponseSeal, "seal")
 		_, _ = io.WriteString(w, "sound")
 	}))
 	handler := standin.Handler(store.Client())
@@ -250,7 +254,7 @@
 	}
 	r.Host = endlessHost
 	r.ContentLength = bodyBytes
-	r.Header.Set("Vanillaroute-Request-Id", id)
+	r.Header.Set(f.names.RequestID, id)
 	return r
 }
 
