fix(forward): unreachable engines are not asked again after the time of an answer

Cause: Retry-After of 50 ms or the mean time of answers was also given when no engine could be reached; these are in back-off for 0.3 s and more. Change: only a request that an engine has refused gets the time of answers.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"math"
@@ -434,7 +433,12 @@
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterCulprit
 	case x.runs == 0:
 		refused.status, refused.retryAfter = http.StatusServiceUnavailable, retryAfterOverload
-		if wait := cmp.Or(x.acceptedIn, x.expectedTime); wait > 0 {
+		wait := x.acceptedIn
+		if wait == 0 && x.sends > 0 {
+			// Engines have refused the request. Unreachable ones are in back-off for longer.
+			wait = x.expectedTime
+		}
+		if wait > 0 {
 			refused.retryAfter = min(max(wait, retryAfterOtherInstance), retryAfterLimit)
 		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.deadline):
--- a/connection/forward/full_engines_test.go
+++ b/connection/forward/full_engines_test.go
@@ -16,12 +16,14 @@
 	for _, tt := range []struct {
 		name       string
 		engineTime time.Duration
-		least      time.Duration
-		most       time.Duration
+		// ended says that the engines have ended instead of being full.
+		ended       bool
+		least, most time.Duration
 	}{
-		{"no answer yet", 0, retryAfterOverload, retryAfterOverload},
-		{"fast answers", time.Millisecond, retryAfterOtherInstance, 100 * time.Millisecond},
-		{"slow answers", 150 * time.Millisecond, 140 * time.Millisecond, 290 * time.Millisecond},
+		{"no answer yet", 0, false, retryAfterOverload, retryAfterOverload},
+		{"fast answers", time.Millisecond, false, retryAfterOtherInstance, 100 * time.Millisecond},
+		{"slow answers", 150 * time.Millisecond, false, 140 * time.Millisecond, 290 * time.Millisecond},
+		{"unreachable engines", time.Millisecond, true, retryAfterOverload, retryAfterOverload},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var full atomic.Bool
@@ -46,6 +48,11 @@
 			now := time.Now()
 			f.handler.Admission.Merge(f.handler.Admission.Demands(now), now)
 			full.Store(true)
+			if tt.ended {
+				for _, server := range f.servers {
+					server.Close()
+				}
+			}
 			resp, _, err := f.send(t, nil)
 			if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 				t.Fatalf("got %v, %v", resp, err)
