--- a/process/entry/loads_test.go
+++ b/process/entry/loads_test.go
@@ -67,7 +67,7 @@
 	const (
 		span                          = time.Minute
 		localLoads                    = 4
-		minLoadShare, minHoldersShare = 0.9, 0.25
+		minLoadShare, minHoldersShare = 0.9, 0.4
 		changesPerSecond              = 1
 	)
 	start := time.Unix(1000, 0)
@@ -129,7 +129,14 @@
 		}
 	}
 	t.Logf("%d of %d heartbeats carry loads, %d of %d pings holders", withLoads, sent, withHolders, pings)
-	if float64(withLoads) < minLoadShare*float64(sent) || float64(withHolders) < minHoldersShare*float64(pings) {
-		t.Errorf("%d of %d heartbeats carry loads, %d of %d pings holders", withLoads, sent, withHolders, pings)
-	}
+	t.Run("loads", func(t *testing.T) {
+		if float64(withLoads) < minLoadShare*float64(sent) {
+			t.Errorf("%d of %d heartbeats carry loads", withLoads, sent)
+		}
+	})
+	t.Run("holders", func(t *testing.T) {
+		if float64(withHolders) < minHoldersShare*float64(pings) {
+			t.Errorf("%d of %d pings carry holders", withHolders, pings)
+		}
+	})
 }
