review: case 1, a configuration whose tenant has no key left lets every request through

Three entry instances, one tenant, one key. After the key was taken away, requests with it run, and so do requests with a key that never existed. Nothing is fixed.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+type fields map[string]any
+
+var (
+	lookupRoute = fields{
+		"name": "lookup", "host": host, "pathPrefix": "/lookup/", "kind": "idempotent", "timeoutMs": 1000, "sloMs": 150, "priority": 2, "service": "desk", "attempts": 2,
+		"public": false, "sticky": false, "resumable": false,
+	}
+	bookingRoute = fields{
+		"name": "booking", "host": host, "pathPrefix": "/booking/", "kind": "non_idempotent", "timeoutMs": 1000, "sloMs": 150, "priority": 2, "service": "desk", "attempts": 1,
+		"public": false, "sticky": false, "resumable": false,
+	}
+	kioskRoute = fields{
+		"name": "kiosk", "host": host, "pathPrefix": "/chat/", "kind": "stream", "timeoutMs": 15000, "sloMs": 1500, "priority": 2, "service": "llm", "attempts": 2,
+		"public": false, "sticky": true, "resumable": true, "targetGapMs": 400,
+	}
+)
+
+func tenant(keys ...string) []any {
+	if keys == nil {
+		keys = []string{}
+	}
+	return []any{fields{"name": "museum", "apiKeys": keys, "priority": 1}}
+}
+
+func withTimeout(route fields, ms int) fields {
+	changed := fields{}
+	for k, v := range route {
+		changed[k] = v
+	}
+	changed["timeoutMs"] = ms
+	return changed
+}
+
+// public returns a copy of a route that needs no key.
+func public(route fields) fields {
+	changed := withTimeout(route, route["timeoutMs"].(int))
+	changed["public"] = true
+	return changed
+}
+
+// revokedKeys takes the key of the only tenant away, and sends requests with that key and with one that no configuration ever held. Only those with
+// the revoked key decide.
+func revokedKeys(rec *record, trouble bool) (bool, error) {
+	const key, foreign = "n2ctnfzs989anu6wsjnb", "neverheldbyanyone000"
+	d, err := newDeployment(rec, 3, 7, []any{lookupRoute, bookingRoute}, tenant(key))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	for i := range 3 {
+		if _, err := d.startEngine(fmt.Sprintf("i-desk%d", i+1), "desk", fmt.Sprintf("zone-%d", i), 6); err != nil {
+			return false, err
+		}
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	number := 0
+	round := func(phase string) error {
+		for _, n := range d.instances {
+			for _, path := range []string{"/booking/", "/lookup/"} {
+				for _, k := range []string{key, foreign} {
+					number++
+					c, err := dialClient(n.callers)
+					if err != nil {
+						return err
+					}
+					method := http.MethodPost
+					if path == "/lookup/" {
+						method = http.MethodGet
+					}
+					id := fmt.Sprintf("%s-%s-%d", phase, map[string]string{key: "known", foreign: "foreign"}[k], number)
+					rec.add("sent %s to %s%s with key %s", id, n.name, path, k)
+					a := c.do(request{method: method, host: host, path: path, id: id, key: k, deadline: time.Second}, 3*time.Second)
+					rec.add("answered %s status=%d err=%v", id, a.status, a.err)
+					c.close()
+				}
+			}
+		}
+		return nil
+	}
+	if err := round("before"); err != nil {
+		return false, err
+	}
+	if trouble {
+		if err := d.configure(8, tenant()); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(revokeBound + time.Second)
+	for range 3 {
+		if err := round("after"); err != nil {
+			return false, err
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	served := len(rec.find("engine: runs", "before-known"))
+	revoked, never := len(rec.find("engine: runs", "after-known")), len(rec.find("engine: runs", "-foreign-"))
+	if !trouble {
+		revoked = 0
+	}
+	rec.add("before the revocation %d requests with the key ran; %d that were sent over %s after its acknowledgement ran; with a key that no configuration ever held, %d ran", served, revoked, revokeBound, never)
+	if served == 0 {
+		return false, fmt.Errorf("no request with the valid key ran")
+	}
+	return revoked > 0, nil
+}
+
+// cutStream takes an engine away while it is at work on streams: it says that it is draining, and is gone two seconds later.
+func cutStream(rec *record, trouble bool) (bool, error) {
+	const key, streams, pieces = "n2ctnfzs989anu6wsjnb", 8, 70
+	d, err := newDeployment(rec, 2, 7, []any{kioskRoute}, tenant(key))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	var engines []*engineProcess
+	for i := range 3 {
+		e, err := d.startEngine(fmt.Sprintf("i-llm%d", i+1), "llm", fmt.Sprintf("zone-%d", i), 96, "-events", fmt.Sprint(pieces), "-every", "100ms", "-unframed")
+		if err != nil {
+			return false, err
+		}
+		engines = append(engines, e)
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	broken, whole := 0, 0
+	for i := range streams {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			id := fmt.Sprintf("stream-%d", i+1)
+			n := d.instances[i%len(d.instances)]
+			c, err := dialClient(n.callers)
+			if err != nil {
+				rec.add("no connection for %s: %v", id, err)
+				return
+			}
+			defer c.close()
+			prefix := fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,e4402b%02x:250", i, i)
+			rec.add("sent %s to %s", id, n.name)
+			a := c.do(request{method: http.MethodPost, host: host, path: "/chat/", id: id, key: key, deadline: 15 * time.Second, prefix: prefix, body: "prompt"}, 20*time.Second)
+			got := events(a.body)
+			inOrder := true
+			for k, event := range got {
+				inOrder = inOrder && event == k+1
+			}
+			rec.add("answered %s status=%d complete=%t pieces=%d of %d inOrder=%t seal=%s err=%v", id, a.status, a.err == nil, len(got), pieces, inOrder, a.header.Get("Vanillaroute-Response-Seal"), a.err)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == http.StatusOK && a.err == nil {
+				if len(got) == pieces && inOrder {
+					whole++
+				} else {
+					broken++
+				}
+			}
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		// The engine with the most streams leaves.
+		leaving := engines[0]
+		for _, e := range engines {
+			if len(rec.find("engine: runs", "engine="+e.id)) > len(rec.find("engine: runs", "engine="+leaving.id)) {
+				leaving = e
+			}
+		}
+		if err := d.register(leaving, "draining"); err != nil {
+			return false, err
+		}
+		time.Sleep(drainBound)
+		d.signal(leaving, syscall.SIGKILL)
+		d.store.remove("servers/" + leaving.id)
+	}
+	wait.Wait()
+	rec.add("%d streams were whole, %d ended as complete before their last piece", whole, broken)
+	if whole+broken == 0 {
+		return false, fmt.Errorf("no stream was answered")
+	}
+	return broken > 0, nil
+}
+
+// unanswered takes the only engine of a service away while requests wait in its queue. The engine rejects them when the time that the route allows has passed.
+func unanswered(rec *record, trouble bool) (bool, error) {
+	const key, waiting, timeoutMs = "n2ctnfzs989anu6wsjnb", 8, 2000
+	d, err := newDeployment(rec, 2, 7, []any{withTimeout(kioskRoute, timeoutMs)}, tenant(key))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	// One engine with one slot; a stream takes 1.8 s.
+	e, err := d.startEngine("i-llm1", "llm", "zone-0", 2, "-events", "6", "-every", "300ms")
+	if err != nil {
+		return false, err
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	ask := func(c *client, id string) answer {
+		rec.add("sent %s", id)
+		a := c.do(request{method: http.MethodPost, host: host, path: "/chat/", id: id, key: key, deadline: 6 * time.Second, prefix: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", body: "prompt"}, 8*time.Second)
+		rec.add("answered %s status=%d err=%v after %d ms", id, a.status, a.err, a.took.Milliseconds())
+		return a
+	}
+	// Each client has served one request on its connection before: it is kept.
+	clients := make([]*client, waiting)
+	for i := range clients {
+		if clients[i], err = dialClient(d.instances[i%len(d.instances)].callers); err != nil {
+			return false, err
+		}
+		defer clients[i].close()
+	}
+	var wait sync.WaitGroup
+	for i, c := range clients {
+		if i%2 == 0 {
+			wait.Wait()
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			ask(c, fmt.Sprintf("first-%d", i+1))
+		}()
+	}
+	wait.Wait()
+	var mu sync.Mutex
+	closed, answered := 0, 0
+	for i, c := range clients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			id := fmt.Sprintf("second-%d", i+1)
+			a := ask(c, id)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.err == nil:
+				answered++
+			case len(rec.find("engine: reaches", id+" ")) > 0 && a.status == 0:
+				closed++
+			}
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		if err := d.register(e, "draining"); err != nil {
+			return false, err
+		}
+	}
+	wait.Wait()
+	rec.add("of %d requests on kept connections that waited at a sound engine, %d were answered, and %d ended with their connection closed without an answer; lines of the instances' logs with a panic: %d", waiting, answered, closed, d.grep("panic serving"))
+	if answered+closed == 0 {
+		return false, fmt.Errorf("no request was answered or closed")
+	}
+	return closed > 3, nil
+}
+
+// gone lets some clients leave while their bookings wait in the queue of a slow engine, which rejects them when their deadline has passed.
+func gone(rec *record, trouble bool) (bool, error) {
+	const fillers, bookings = 4, 40
+	const deadline, patience, bound = time.Second, 150 * time.Millisecond, 500 * time.Millisecond
+	d, err := newDeployment(rec, 2, 7, []any{public(withTimeout(bookingRoute, 4000))}, tenant("n2ctnfzs989anu6wsjnb"))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	for i, work := range []string{"220ms", "1100ms"} {
+		// The second engine works five times as long.
+		if _, err := d.startEngine(fmt.Sprintf("i-desk%d", i+1), "desk", fmt.Sprintf("zone-%d", i), 2, "-work", work); err != nil {
+			return false, err
+		}
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	left := make(map[string]time.Duration)
+	var wait sync.WaitGroup
+	for i := range fillers + bookings {
+		if i == fillers {
+			time.Sleep(20 * time.Millisecond)
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			id := fmt.Sprintf("booking-%03d", i+1)
+			n := d.instances[i%len(d.instances)]
+			c, err := dialClient(n.callers)
+			if err != nil {
+				return
+			}
+			defer c.close()
+			waits, within, leaves := deadline, 3*time.Second, trouble && i >= fillers && i%10 < 3
+			if i < fillers {
+				waits, within = 4*time.Second, 5*time.Second
+			}
+			if leaves {
+				within = patience
+			}
+			rec.add("sent %s to %s", id, n.name)
+			a := c.do(request{method: http.MethodPost, host: host, path: "/booking/", id: id, deadline: waits, body: "booking"}, within)
+			if leaves && a.err != nil {
+				c.close()
+				mu.Lock()
+				left[id] = time.Since(rec.began)
+				mu.Unlock()
+				rec.add("client of %s has left and closed its connection", id)
+				return
+			}
+			rec.add("answered %s status=%d err=%v", id, a.status, a.err)
+		}()
+	}
+	wait.Wait()
+	time.Sleep(2 * time.Second)
+	late, ran := 0, 0
+	for id, at := range left {
+		for _, reached := range rec.find("engine: reaches", id+" ") {
+			if reached > at+bound {
+				late++
+				rec.add("%s reached an engine %d ms after its client had left", id, (reached - at).Milliseconds())
+			}
+		}
+		for _, began := range rec.find("engine: runs", id+" ") {
+			if began > at+bound {
+				ran++
+			}
+		}
+	}
+	rec.add("%d clients left; %d times a request reached an engine over %s later, and %d times it was run then", len(left), late, bound, ran)
+	return late > 3, nil
+}
