review: case 2, after a restart three crashes of an engine make the fleet refuse all prompts with the same first part

Three entry instances and one engine. After a final fault the engine crashes three times before a stream has ended; from then on no stream is served. Nothing is fixed.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -350,3 +351,125 @@
 	rec.add("%d clients left; %d times a request reached an engine over %s later, and %d times it was run then", len(left), late, bound, ran)
 	return late > 3, nil
 }
+
+// falseCulprit kills all entry instances, as a final fault does, and lets the model engine crash three times soon after they are back, before it has ended
+// a stream. It is back two seconds after each crash. All prompts are sound and share their first part.
+func falseCulprit(rec *record, trouble bool) (bool, error) {
+	const key, pieces, every, down = "n2ctnfzs989anu6wsjnb", 40, 200 * time.Millisecond, 1200 * time.Millisecond
+	const recovery, engineDown, engineUp, observed = 12 * time.Second, 2 * time.Second, time.Second, 6 * time.Second
+	d, err := newDeployment(rec, 3, 7, []any{kioskRoute}, tenant(key))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	flags := []string{"-events", fmt.Sprint(pieces), "-every", "100ms"}
+	e, err := d.startEngine("i-llm1", "llm", "zone-0", 96, flags...)
+	if err != nil {
+		return false, err
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	type result struct {
+		sent   time.Duration
+		served bool
+	}
+	var mu sync.Mutex
+	var results []result
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		for n := 1; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(every):
+			}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				id := fmt.Sprintf("kiosk-%03d", n)
+				sent := time.Since(rec.began)
+				a := answer{err: fmt.Errorf("no connection")}
+				for k := range d.instances {
+					// A client that gets no connection tries the next address.
+					c, err := dialClient(d.instances[(n+k)%len(d.instances)].callers)
+					if err != nil {
+						continue
+					}
+					rec.add("sent %s to %s", id, d.instances[(n+k)%len(d.instances)].name)
+					prefix := fmt.Sprintf("5c1e07a2:800,91bd%04x:410,e440%04x:250", n, n)
+					a = c.do(request{method: http.MethodPost, host: host, path: "/chat/", id: id, key: key, deadline: 15 * time.Second, prefix: prefix, body: "prompt"}, 16*time.Second)
+					c.close()
+					break
+				}
+				served := a.status == http.StatusOK && a.err == nil && len(events(a.body)) == pieces
+				rec.add("answered %s status=%d pieces=%d served=%t retryAfter=%q err=%v", id, a.status, len(events(a.body)), served, a.header.Get("Retry-After"), a.err)
+				mu.Lock()
+				defer mu.Unlock()
+				results = append(results, result{sent, served})
+			}()
+		}
+	}()
+	time.Sleep(10 * time.Second)
+	fault := time.Since(rec.began)
+	if trouble {
+		if err := d.configure(8, tenant(key)); err != nil {
+			return false, err
+		}
+		rec.add("final fault: all entry instances are killed")
+		for _, n := range d.instances {
+			_ = n.cmd.Process.Kill()
+		}
+		for _, n := range d.instances {
+			_ = n.cmd.Wait()
+		}
+		time.Sleep(down)
+		for _, n := range d.instances {
+			if err := n.start(d.dir); err != nil {
+				return false, err
+			}
+		}
+		if err := d.waitReady(); err != nil {
+			return false, err
+		}
+	}
+	back := time.Since(rec.began)
+	// CRASHES=0 leaves the final fault alone.
+	for n := 2; trouble && os.Getenv("CRASHES") != "0" && n <= 4; n++ {
+		time.Sleep(engineUp)
+		d.signal(e, syscall.SIGKILL)
+		time.Sleep(engineDown)
+		d.store.remove("servers/" + e.id)
+		if e, err = d.startEngine(fmt.Sprintf("i-llm%d", n), "llm", "zone-0", 96, flags...); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(back + recovery + observed - time.Since(rec.began))
+	close(stop)
+	wait.Wait()
+	before, servedBefore, after, servedAfter := 0, 0, 0, 0
+	for _, r := range results {
+		switch {
+		case r.sent < fault-5*time.Second:
+			before++
+			if r.served {
+				servedBefore++
+			}
+		case r.sent > back+recovery:
+			after++
+			if r.served {
+				servedAfter++
+			}
+		}
+	}
+	rec.add("before the final fault %d of %d requests were served; of those sent later than %s after the instances were back, %d of %d", servedBefore, before, recovery, servedAfter, after)
+	if before == 0 || after == 0 || 4*servedBefore < before {
+		return false, fmt.Errorf("too few requests were served before the final fault")
+	}
+	return 4*servedAfter < after, nil
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -92,8 +92,10 @@
 		store     *store
 		storeAddr string
 		instances []*entryInstance
-		engines   []*engineProcess
-		routes    []any
+		// mu guards engines.
+		mu      sync.Mutex
+		engines []*engineProcess
+		routes  []any
 	}
 )
 
@@ -226,7 +228,7 @@
 
 // start starts the process with the command of the deploy file.
 func (n *entryInstance) start(dir string) error {
-	log, err := os.Create(filepath.Join(dir, n.name+".log"))
+	log, err := os.OpenFile(filepath.Join(dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -280,7 +282,9 @@
 	if err := e.cmd.Start(); err != nil {
 		return nil, err
 	}
+	d.mu.Lock()
 	d.engines = append(d.engines, e)
+	d.mu.Unlock()
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
 		return nil, fmt.Errorf("engine %s did not start", id)
@@ -319,6 +323,8 @@
 			_ = n.log.Close()
 		}
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, e := range d.engines {
 		if e.cmd.Process != nil {
 			_ = e.cmd.Process.Kill()
