--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -42,13 +42,6 @@
 	return changed
 }
 
-// public returns a copy of a route that needs no key.
-func public(route fields) fields {
-	changed := withTimeout(route, route["timeoutMs"].(int))
-	changed["public"] = true
-	return changed
-}
-
 // revokedKeys takes the key of the only tenant away, and sends requests with that key and with one that no configuration ever held. Only those with
 // the revoked key decide.
 func revokedKeys(rec *record, trouble bool) (bool, error) {
@@ -275,83 +268,6 @@
 	return closed > 3, nil
 }
 
-// gone lets some clients leave while their bookings wait in the queue of a slow engine, which rejects them when their deadline has passed.
-func gone(rec *record, trouble bool) (bool, error) {
-	const fillers, bookings = 4, 40
-	const deadline, patience, bound = time.Second, 150 * time.Millisecond, 500 * time.Millisecond
-	d, err := newDeployment(rec, 2, 7, []any{public(withTimeout(bookingRoute, 4000))}, tenant("n2ctnfzs989anu6wsjnb"))
-	if d != nil {
-		defer d.close()
-	}
-	if err != nil {
-		return false, err
-	}
-	for i, work := range []string{"220ms", "1100ms"} {
-		// The second engine works five times as long.
-		if _, err := d.startEngine(fmt.Sprintf("i-desk%d", i+1), "desk", fmt.Sprintf("zone-%d", i), 2, "-work", work); err != nil {
-			return false, err
-		}
-	}
-	if err := d.waitReady(); err != nil {
-		return false, err
-	}
-	var mu sync.Mutex
-	left := make(map[string]time.Duration)
-	var wait sync.WaitGroup
-	for i := range fillers + bookings {
-		if i == fillers {
-			time.Sleep(20 * time.Millisecond)
-		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			id := fmt.Sprintf("booking-%03d", i+1)
-			n := d.instances[i%len(d.instances)]
-			c, err := dialClient(n.callers)
-			if err != nil {
-				return
-			}
-			defer c.close()
-			waits, within, leaves := deadline, 3*time.Second, trouble && i >= fillers && i%10 < 3
-			if i < fillers {
-				waits, within = 4*time.Second, 5*time.Second
-			}
-			if leaves {
-				within = patience
-			}
-			rec.add("sent %s to %s", id, n.name)
-			a := c.do(request{method: http.MethodPost, host: host, path: "/booking/", id: id, deadline: waits, body: "booking"}, within)
-			if leaves && a.err != nil {
-				c.close()
-				mu.Lock()
-				left[id] = time.Since(rec.began)
-				mu.Unlock()
-				rec.add("client of %s has left and closed its connection", id)
-				return
-			}
-			rec.add("answered %s status=%d err=%v", id, a.status, a.err)
-		}()
-	}
-	wait.Wait()
-	time.Sleep(2 * time.Second)
-	late, ran := 0, 0
-	for id, at := range left {
-		for _, reached := range rec.find("engine: reaches", id+" ") {
-			if reached > at+bound {
-				late++
-				rec.add("%s reached an engine %d ms after its client had left", id, (reached - at).Milliseconds())
-			}
-		}
-		for _, began := range rec.find("engine: runs", id+" ") {
-			if began > at+bound {
-				ran++
-			}
-		}
-	}
-	rec.add("%d clients left; %d times a request reached an engine over %s later, and %d times it was run then", len(left), late, bound, ran)
-	return late > 3, nil
-}
-
 // falseCulprit kills all entry instances, as a final fault does, and lets the model engine crash three times soon after they are back, before it has ended
 // a stream. It is back two seconds after each crash. All prompts are sound and share their first part.
 func falseCulprit(rec *record, trouble bool) (bool, error) {
@@ -473,3 +389,92 @@
 	}
 	return 4*servedAfter < after, nil
 }
+
+// frozenWhileEngineCrashed freezes an entry instance; meanwhile an engine crashes in the middle of its streams and is back at the same address.
+func frozenWhileEngineCrashed(rec *record, trouble bool) (bool, error) {
+	const key, streams, pieces = "n2ctnfzs989anu6wsjnb", 12, 70
+	const frozenFor, engineDown, expiry = 4 * time.Second, 2 * time.Second, 3600 * time.Millisecond
+	d, err := newDeployment(rec, 2, 7, []any{kioskRoute}, tenant(key))
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	flags := []string{"-events", fmt.Sprint(pieces), "-every", "100ms", "-unframed"}
+	var engines []*engineProcess
+	for i := range 3 {
+		e, err := d.startEngine(fmt.Sprintf("i-llm%d", i+1), "llm", fmt.Sprintf("zone-%d", i), 96, flags...)
+		if err != nil {
+			return false, err
+		}
+		engines = append(engines, e)
+	}
+	if err := d.waitReady(); err != nil {
+		return false, err
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	broken, whole := 0, 0
+	for i := range streams {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			id := fmt.Sprintf("stream-%d", i+1)
+			n := d.instances[i%len(d.instances)]
+			c, err := dialClient(n.callers)
+			if err != nil {
+				rec.add("no connection for %s: %v", id, err)
+				return
+			}
+			defer c.close()
+			prefix := fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,e4402b%02x:250", i, i)
+			rec.add("sent %s to %s", id, n.name)
+			a := c.do(request{method: http.MethodPost, host: host, path: "/chat/", id: id, key: key, deadline: 15 * time.Second, prefix: prefix, body: "prompt"}, 20*time.Second)
+			got := events(a.body)
+			rec.add("answered %s status=%d complete=%t pieces=%d of %d seal=%s err=%v", id, a.status, a.err == nil, len(got), pieces, a.header.Get("Vanillaroute-Response-Seal"), a.err)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == http.StatusOK && a.err == nil {
+				if len(got) == pieces && got[len(got)-1] == pieces {
+					whole++
+				} else {
+					broken++
+				}
+			}
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		frozen := d.instances[0]
+		rec.add("%s freezes", frozen.name)
+		_ = frozen.cmd.Process.Signal(syscall.SIGSTOP)
+		thaw := time.After(frozenFor)
+		time.Sleep(100 * time.Millisecond)
+		// The engine with the most streams crashes.
+		crashed := engines[0]
+		for _, e := range engines {
+			if len(rec.find("engine: runs", "engine="+e.id)) > len(rec.find("engine: runs", "engine="+crashed.id)) {
+				crashed = e
+			}
+		}
+		d.signal(crashed, syscall.SIGKILL)
+		time.AfterFunc(expiry, func() {
+			d.store.remove("servers/" + crashed.id)
+			rec.add("entry of engine %s has expired", crashed.id)
+		})
+		time.Sleep(engineDown)
+		if _, err := d.startEngine("i-llm4", "llm", crashed.zone, 96, append(flags, "-listen", crashed.address)...); err != nil {
+			return false, err
+		}
+		<-thaw
+		rec.add("%s wakes", frozen.name)
+		_ = frozen.cmd.Process.Signal(syscall.SIGCONT)
+	}
+	wait.Wait()
+	rec.add("%d streams were whole, %d ended as complete before their last piece", whole, broken)
+	if whole+broken == 0 {
+		return false, fmt.Errorf("no stream was answered")
+	}
+	return broken > 0, nil
+}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -23,19 +22,15 @@
 		events     int
 		eventEvery time.Duration
 		unframed   bool
-		// work is how long other requests take, and hang the share of them that are never answered.
+		// work is how long other requests take.
 		work time.Duration
-		hang float64
 	}
 
 	// engine is a stand-in for an engine. It writes a line for each step of a request to log.
 	engine struct {
 		engineOptions
 		slot chan struct{}
-		mu   sync.Mutex
-		// ran counts the requests other than streams that have begun to run.
-		ran int
-		log func(format string, args ...any)
+		log  func(format string, args ...any)
 	}
 )
 
@@ -118,12 +113,8 @@
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
 		return e.stream(ctx, c, r, id)
 	}
-	work := e.work
-	if e.hangs() {
-		work = time.Hour
-	}
 	select {
-	case <-time.After(work):
+	case <-time.After(e.work):
 	case <-ctx.Done():
 		e.log("stops %s engine=%s", id, e.id)
 		return e.write(c, http.StatusGatewayTimeout, id, true, "", "deadline")
@@ -132,14 +123,6 @@
 	return e.write(c, http.StatusOK, id, true, "", "answer to "+id)
 }
 
-// hangs reports whether the next request is never answered: they are spread evenly.
-func (e *engine) hangs() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.ran++
-	return int(float64(e.ran)*e.hang) > int(float64(e.ran-1)*e.hang)
-}
-
 // stream sends the events after Last-Event-Id.
 func (e *engine) stream(ctx context.Context, c net.Conn, r *http.Request, id string) bool {
 	first := 1
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken. Without trouble it leaves out the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"keys": revokedKeys, "cutstream": cutStream, "unanswered": unanswered, "gone": gone, "culprit": falseCulprit,
+	"keys": revokedKeys, "cutstream": cutStream, "unanswered": unanswered, "culprit": falseCulprit, "thaw": frozenWhileEngineCrashed,
 }
 
 func main() {
@@ -85,16 +85,16 @@
 	flags := flag.NewFlagSet("engine", flag.ExitOnError)
 	var o engineOptions
 	flags.StringVar(&o.id, "id", "", "id")
+	flags.StringVar(&o.address, "listen", "127.0.0.1:0", "address")
 	flags.IntVar(&o.slots, "slots", 1, "requests that run at a time")
 	flags.IntVar(&o.events, "events", 10, "events of a stream")
 	flags.DurationVar(&o.eventEvery, "every", 50*time.Millisecond, "pause between events")
 	flags.BoolVar(&o.unframed, "unframed", false, "streams have neither a length nor chunks")
 	flags.DurationVar(&o.work, "work", 30*time.Millisecond, "time of other requests")
-	flags.Float64Var(&o.hang, "hang", 0, "share of other requests that are never answered")
 	if err := flags.Parse(args); err != nil {
 		return notRun
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", o.address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
