--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// entryExpiry is three intervals of heartbeats, after which the entry of a silent engine is removed.
+const entryExpiry = 3600 * time.Millisecond
+
 type fields map[string]any
 
 var (
@@ -112,9 +115,17 @@
 	return revoked > 0, nil
 }
 
-// cutStream takes an engine away while it is at work on streams: it says that it is draining, and is gone two seconds later.
-func cutStream(rec *record, trouble bool) (bool, error) {
-	const key, streams, pieces = "n2ctnfzs989anu6wsjnb", 8, 70
+// crashedEngine lets an engine crash while it is at work on streams.
+func crashedEngine(rec *record, trouble bool) (bool, error) {
+	return cutStreams(rec, 240, trouble, false)
+}
+
+// leavingEngine takes an engine away while it is at work on streams: it says that it is draining, and is gone two seconds later.
+func leavingEngine(rec *record, trouble bool) (bool, error) { return cutStreams(rec, 8, trouble, true) }
+
+// cutStreams kills the engine with the most streams, after a notice if wanted. The answers have neither a length nor chunks.
+func cutStreams(rec *record, streams int, trouble, notice bool) (bool, error) {
+	const key, pieces = "n2ctnfzs989anu6wsjnb", 70
 	d, err := newDeployment(rec, 2, 7, []any{kioskRoute}, tenant(key))
 	if d != nil {
 		defer d.close()
@@ -177,12 +188,14 @@
 				leaving = e
 			}
 		}
-		if err := d.register(leaving, "draining"); err != nil {
-			return false, err
+		if notice {
+			if err := d.register(leaving, "draining"); err != nil {
+				return false, err
+			}
+			time.Sleep(drainBound)
 		}
-		time.Sleep(drainBound)
 		d.signal(leaving, syscall.SIGKILL)
-		d.store.remove("servers/" + leaving.id)
+		time.AfterFunc(entryExpiry, func() { d.store.remove("servers/" + leaving.id) })
 	}
 	wait.Wait()
 	rec.add("%d streams were whole, %d ended as complete before their last piece", whole, broken)
@@ -389,92 +402,3 @@
 	}
 	return 4*servedAfter < after, nil
 }
-
-// frozenWhileEngineCrashed freezes an entry instance; meanwhile an engine crashes in the middle of its streams and is back at the same address.
-func frozenWhileEngineCrashed(rec *record, trouble bool) (bool, error) {
-	const key, streams, pieces = "n2ctnfzs989anu6wsjnb", 12, 70
-	const frozenFor, engineDown, expiry = 4 * time.Second, 2 * time.Second, 3600 * time.Millisecond
-	d, err := newDeployment(rec, 2, 7, []any{kioskRoute}, tenant(key))
-	if d != nil {
-		defer d.close()
-	}
-	if err != nil {
-		return false, err
-	}
-	flags := []string{"-events", fmt.Sprint(pieces), "-every", "100ms", "-unframed"}
-	var engines []*engineProcess
-	for i := range 3 {
-		e, err := d.startEngine(fmt.Sprintf("i-llm%d", i+1), "llm", fmt.Sprintf("zone-%d", i), 96, flags...)
-		if err != nil {
-			return false, err
-		}
-		engines = append(engines, e)
-	}
-	if err := d.waitReady(); err != nil {
-		return false, err
-	}
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	broken, whole := 0, 0
-	for i := range streams {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			id := fmt.Sprintf("stream-%d", i+1)
-			n := d.instances[i%len(d.instances)]
-			c, err := dialClient(n.callers)
-			if err != nil {
-				rec.add("no connection for %s: %v", id, err)
-				return
-			}
-			defer c.close()
-			prefix := fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,e4402b%02x:250", i, i)
-			rec.add("sent %s to %s", id, n.name)
-			a := c.do(request{method: http.MethodPost, host: host, path: "/chat/", id: id, key: key, deadline: 15 * time.Second, prefix: prefix, body: "prompt"}, 20*time.Second)
-			got := events(a.body)
-			rec.add("answered %s status=%d complete=%t pieces=%d of %d seal=%s err=%v", id, a.status, a.err == nil, len(got), pieces, a.header.Get("Vanillaroute-Response-Seal"), a.err)
-			mu.Lock()
-			defer mu.Unlock()
-			if a.status == http.StatusOK && a.err == nil {
-				if len(got) == pieces && got[len(got)-1] == pieces {
-					whole++
-				} else {
-					broken++
-				}
-			}
-		}()
-	}
-	time.Sleep(1500 * time.Millisecond)
-	if trouble {
-		frozen := d.instances[0]
-		rec.add("%s freezes", frozen.name)
-		_ = frozen.cmd.Process.Signal(syscall.SIGSTOP)
-		thaw := time.After(frozenFor)
-		time.Sleep(100 * time.Millisecond)
-		// The engine with the most streams crashes.
-		crashed := engines[0]
-		for _, e := range engines {
-			if len(rec.find("engine: runs", "engine="+e.id)) > len(rec.find("engine: runs", "engine="+crashed.id)) {
-				crashed = e
-			}
-		}
-		d.signal(crashed, syscall.SIGKILL)
-		time.AfterFunc(expiry, func() {
-			d.store.remove("servers/" + crashed.id)
-			rec.add("entry of engine %s has expired", crashed.id)
-		})
-		time.Sleep(engineDown)
-		if _, err := d.startEngine("i-llm4", "llm", crashed.zone, 96, append(flags, "-listen", crashed.address)...); err != nil {
-			return false, err
-		}
-		<-thaw
-		rec.add("%s wakes", frozen.name)
-		_ = frozen.cmd.Process.Signal(syscall.SIGCONT)
-	}
-	wait.Wait()
-	rec.add("%d streams were whole, %d ended as complete before their last piece", whole, broken)
-	if whole+broken == 0 {
-		return false, fmt.Errorf("no stream was answered")
-	}
-	return broken > 0, nil
-}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken. Without trouble it leaves out the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"keys": revokedKeys, "cutstream": cutStream, "unanswered": unanswered, "culprit": falseCulprit, "thaw": frozenWhileEngineCrashed,
+	"keys": revokedKeys, "crash": crashedEngine, "leaving": leavingEngine, "unanswered": unanswered, "culprit": falseCulprit,
 }
 
 func main() {
