--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -359,7 +359,7 @@
 		}
 		time.Sleep(down)
 		for _, n := range d.instances {
-			if err := n.start(d.dir); err != nil {
+			if err := d.start(n); err != nil {
 				return false, err
 			}
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -92,9 +93,10 @@
 		store     *store
 		storeAddr string
 		instances []*entryInstance
-		// mu guards engines.
+		// mu guards engines and closed, and is held while a process is started.
 		mu      sync.Mutex
 		engines []*engineProcess
+		closed  bool
 		routes  []any
 	}
 )
@@ -134,6 +136,12 @@
 	return times
 }
 
+// current is the deployment of the case that is played, or nil.
+var current atomic.Pointer[deployment]
+
+// errClosed is returned if a process is to be started after the case was stopped.
+var errClosed = errors.New("the case was stopped")
+
 // newDeployment starts a store and entry instances with a first configuration of these routes and tenants, and waits until all instances are ready.
 func newDeployment(rec *record, count int, version int, routes []any, tenants any) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review")
@@ -141,6 +149,7 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir, rec: rec, store: newStore(), routes: routes}
+	current.Store(d)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return d, err
@@ -171,7 +180,7 @@
 			return d, err
 		}
 		d.instances = append(d.instances, n)
-		if err := n.start(dir); err != nil {
+		if err := d.start(n); err != nil {
 			return d, err
 		}
 		rec.add("started %s at %s", n.name, n.callers)
@@ -226,15 +235,20 @@
 	return nil, errors.New("no free ports")
 }
 
-// start starts the process with the command of the deploy file.
-func (n *entryInstance) start(dir string) error {
-	log, err := os.OpenFile(filepath.Join(dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+// start starts the process of an entry instance with the command of the deploy file.
+func (d *deployment) start(n *entryInstance) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errClosed
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	n.log = log
 	n.cmd = exec.Command("target/vanillaroute", "entry")
-	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "VANILLAROUTE_NODE_FILE=" + n.settings}
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.dir, "VANILLAROUTE_NODE_FILE=" + n.settings}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return n.cmd.Start()
@@ -279,12 +293,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := e.cmd.Start(); err != nil {
+	if err := d.launch(e); err != nil {
 		return nil, err
 	}
-	d.mu.Lock()
-	d.engines = append(d.engines, e)
-	d.mu.Unlock()
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
 		return nil, fmt.Errorf("engine %s did not start", id)
@@ -299,6 +310,20 @@
 	return e, d.register(e, "ready")
 }
 
+// launch starts the process of an engine.
+func (d *deployment) launch(e *engineProcess) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errClosed
+	}
+	if err := e.cmd.Start(); err != nil {
+		return err
+	}
+	d.engines = append(d.engines, e)
+	return nil
+}
+
 // register writes the entry of an engine. When it returns, the store has acknowledged it.
 func (d *deployment) register(e *engineProcess, state string) error {
 	err := d.store.put("servers/"+e.id, map[string]any{
@@ -314,8 +339,14 @@
 	_ = e.cmd.Process.Signal(s)
 }
 
-// close ends all processes that were started.
+// close ends all processes that were started and removes their files. Further calls do nothing.
 func (d *deployment) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.closed = true
 	for _, n := range d.instances {
 		if n.cmd != nil && n.cmd.Process != nil {
 			_ = n.cmd.Process.Kill()
@@ -323,13 +354,9 @@
 			_ = n.log.Close()
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, e := range d.engines {
-		if e.cmd.Process != nil {
-			_ = e.cmd.Process.Kill()
-			_ = e.cmd.Wait()
-		}
+		_ = e.cmd.Process.Kill()
+		_ = e.cmd.Wait()
 	}
 	_ = os.RemoveAll(d.dir)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -74,7 +74,9 @@
 	case <-stop:
 	case <-time.After(caseTimeout):
 	}
-	// The processes that were started end with this one.
+	if d := current.Load(); d != nil {
+		d.close()
+	}
 	rec.add("the case was stopped")
 	fmt.Println("not run: stopped")
 	return notRun
