fix(routing): an empty list of organisations admits nobody

Cause: NeedsKeys asked whether any organisation has a key, so that an empty set of keys counted as a configuration without organisations, which needs none.

Change: the configuration states whether it has a list of organisations. An empty list, null, or organisations without keys admit nobody. A key is checked also if requests need none, so that a revoked key stays revoked when the list itself goes. An empty key in the list no longer admits requests without one.

--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -86,7 +86,7 @@
 		route.Timeout = 2 * time.Second
 	}
 	route.MaxEngines = max(route.MaxEngines, 1)
-	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, []routing.Organisation{{Name: "museum", Keys: []string{key}}})
+	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, routing.Access{Organisations: []routing.Organisation{{Name: "museum", Keys: []string{key}}}})
 	f.engines.Store(engines.NewList(all))
 	f.handler = New(Dependencies{
 		Memory: sizelimit.NewBudget(testMemoryBytes),
--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -69,7 +69,7 @@
 }
 
 // admit returns the route and the organisation of a request, or a refusal. If the configuration is too old for a final decision,
-// the refusal is a 503 that invites a retry.
+// the refusal is a 503 that invites a retry. A key is checked even if requests need none: it may have been revoked.
 func (h *Handler) admit(snapshot Snapshot, r *http.Request) (*routing.Route, ident.Organisation, *refusal) {
 	if snapshot.Configuration == nil {
 		return nil, "", &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryAfterOtherInstance}
@@ -83,13 +83,14 @@
 		}
 		return nil, "", &refusal{http.StatusNotFound, "no route matches", 0}
 	}
-	if route.Public || !snapshot.Configuration.NeedsKeys() {
+	key, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	carriesKey := isBearer && key != ""
+	if route.Public || (!snapshot.Configuration.NeedsKeys() && !carriesKey) {
 		return route, "", nil
 	}
 	if snapshot.ConfirmedAge > limits.MaxKeyAge {
 		return nil, "", stale
 	}
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 	org, ok := snapshot.Configuration.Authenticate(key)
 	if ok {
 		return route, org, nil
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -87,6 +87,8 @@
 		Path    string
 		// DecodeTime is how long an instance takes to decode it.
 		DecodeTime time.Duration
+		// Access replaces the organisations and their keys unless it is nil.
+		Access *routing.Access
 	}
 
 	testDecoder struct{}
@@ -116,8 +118,11 @@
 	quiet.Name, quiet.PathPrefix = "quiet", quietPath
 	patient := quiet
 	patient.Name, patient.PathPrefix, patient.Timeout, patient.TargetFirstByte = "patient", patientPath, time.Minute, 0
-	organisations := []routing.Organisation{{Name: "museum", Keys: c.Keys}, {Name: "light", Keys: []string{lightKey}}}
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet, patient}, organisations), nil
+	access := routing.Access{Organisations: []routing.Organisation{{Name: "museum", Keys: c.Keys}, {Name: "light", Keys: []string{lightKey}}}}
+	if c.Access != nil {
+		access = *c.Access
+	}
+	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet, patient}, access), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -69,6 +69,13 @@
 		Priority *Priority
 	}
 
+	// Access says who may use the routes that are not public. The zero value admits nobody.
+	Access struct {
+		Organisations []Organisation
+		// Open says that the configuration has no list of organisations, so that requests need no key. An empty list admits nobody.
+		Open bool
+	}
+
 	// Limits bound the body of a request, and how long a caller's connection may be idle; zero means no bound.
 	Limits struct {
 		MaxBodyBytes int64
@@ -80,17 +87,19 @@
 		Version Version
 		Limits  Limits
 		// byHost holds the routes of each lower-case host, longest prefix first.
-		byHost    map[string][]Route
+		byHost map[string][]Route
+		// open says that requests need no key.
+		open      bool
 		keyOwners map[[sha256.Size]byte]ident.Organisation
 		// priorities holds the priorities of the organisations that have one.
 		priorities map[ident.Organisation]Priority
 	}
 )
 
-// New returns a configuration with the given routes and organisations.
-func New(v Version, limits Limits, routes []Route, organisations []Organisation) *Configuration {
+// New returns a configuration with the given routes and access.
+func New(v Version, limits Limits, routes []Route, access Access) *Configuration {
 	c := &Configuration{
-		Version: v, Limits: limits,
+		Version: v, Limits: limits, open: access.Open,
 		byHost: make(map[string][]Route), keyOwners: make(map[[sha256.Size]byte]ident.Organisation),
 		priorities: make(map[ident.Organisation]Priority),
 	}
@@ -101,8 +110,12 @@
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
-	for _, o := range organisations {
+	for _, o := range access.Organisations {
 		for _, key := range o.Keys {
+			if key == "" {
+				// A request without a key must not match it.
+				continue
+			}
 			c.keyOwners[sha256.Sum256([]byte(key))] = o.Name
 		}
 		if o.Priority != nil {
@@ -123,8 +136,8 @@
 	return nil, false
 }
 
-// NeedsKeys reports whether requests on routes that are not public must carry a key, that is, whether any organisation has a key.
-func (c *Configuration) NeedsKeys() bool { return len(c.keyOwners) > 0 }
+// NeedsKeys reports whether requests on routes that are not public must carry a key. They must also while no organisation has one.
+func (c *Configuration) NeedsKeys() bool { return !c.open }
 
 // PromptServices returns the services whose engines cache parts of prompts.
 func (c *Configuration) PromptServices() []ident.Service {
