fix(lists): a list that a file does not hold is not an empty one

Operators saw: `plans apply` with a file of allowances deleted all plans, and the other way round, up to the check of references. `check` took a file whose last entry had been removed for a settings file, and passed plans beside an empty list of allowances.

Cause: a list that a file does not hold and an empty one were both a slice of length 0.

Change: a list that is not held is nil. Applying a file that holds the other list only is refused, `check` looks up plans in an empty list of allowances, and `get` prints an empty list as `plan = []`.

Evidence: with the former code, TestApplyOfTheOtherListDeletesNothing fails for both lists, TestEmptyListFilesAreChecked in 4 of 8 rows, and TestLastKeysAndPlansAreTakenAway on the printed list.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -30,7 +30,7 @@
 // fails.
 func checkFiles(cmd *cobra.Command, files []string) error {
 	var merged lists.File
-	failed := 0
+	failed, hasAllowances := 0, false
 	for _, name := range files {
 		f, err := checkFile(name)
 		if err != nil {
@@ -40,9 +40,11 @@
 		}
 		merged.Plans = append(merged.Plans, f.Plans...)
 		merged.Allowances = append(merged.Allowances, f.Allowances...)
+		hasAllowances = hasAllowances || f.Allowances != nil
 		fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", name)
 	}
-	if len(merged.Plans) > 0 && len(merged.Allowances) > 0 {
+	// Without a list of allowances, the references of the plans cannot be checked.
+	if hasAllowances {
 		if err := merged.CheckReferences(); err != nil {
 			fmt.Fprintln(cmd.ErrOrStderr(), err)
 			failed++
--- a/cmd/check_test.go
+++ b/cmd/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -79,3 +80,37 @@
 		})
 	}
 }
+
+// TestEmptyListFilesAreChecked guards against taking a list file without entries for a settings file, and an empty list for an absent one.
+func TestEmptyListFilesAreChecked(t *testing.T) {
+	const plan = "[[plan]]\norganisation = \"a\"\nplan = \"p\"\n"
+	tests := []struct {
+		name  string
+		files []string
+		code  int
+	}{
+		{"all entries removed", []string{"revision = 7\n"}, 0},
+		{"empty plans", []string{"revision = 7\nplan = []\n"}, 0},
+		{"empty allowances", []string{"allowance = []\n"}, 0},
+		{"plans without allowances to check against", []string{plan}, 0},
+		{"plan and empty allowances", []string{plan, "revision = 7\nallowance = []\n"}, 1},
+		{"plan and empty allowances in one file", []string{"allowance = []\n" + plan}, 1},
+		{"no content", []string{""}, 1},
+		{"unknown key", []string{"revision = 7\nplans = []\n"}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			args := []string{"check"}
+			for i, text := range tt.files {
+				file := filepath.Join(t.TempDir(), fmt.Sprint("file", i, ".toml"))
+				if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				args = append(args, file)
+			}
+			if out, code := runCommand(t, args...); code != tt.code {
+				t.Errorf("exit %d, want %d: %s", code, tt.code, out)
+			}
+		})
+	}
+}
--- a/cmd/lists.go
+++ b/cmd/lists.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 	"github.com/vanillaroute/vanillaroute/connection/callers"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/tomlfile"
 	"github.com/vanillaroute/vanillaroute/version/apply"
 	"github.com/vanillaroute/vanillaroute/version/lists"
 )
@@ -24,9 +25,10 @@
 const statusPollInterval = 100 * time.Millisecond
 
 type (
-	// listKind is one of the two lists, with its command name and its key prefix in the store.
+	// listKind is one of the two lists, with its command name, its table in list files and its key prefix in the store.
 	listKind struct {
 		name   string
+		table  string
 		prefix string
 	}
 
@@ -40,8 +42,8 @@
 )
 
 var (
-	planList      = listKind{name: "plans", prefix: lists.PlanPrefix}
-	allowanceList = listKind{name: "allowances", prefix: lists.AllowancePrefix}
+	planList      = listKind{name: "plans", table: "plan", prefix: lists.PlanPrefix}
+	allowanceList = listKind{name: "allowances", table: "allowance", prefix: lists.AllowancePrefix}
 )
 
 func newListCmd(kind listKind) *listCmd {
@@ -91,6 +93,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode list")
 	}
+	if len(f.Plans)+len(f.Allowances) == 0 {
+		text = fmt.Appendf(text, "%s = []\n", l.kind.table)
+	}
 	_, err = io.Copy(out, bytes.NewReader(text))
 	return errors.Wrap(err, "write list")
 }
@@ -104,6 +109,9 @@
 	if err != nil {
 		return err
 	}
+	if err := l.checkHeld(file, f); err != nil {
+		return err
+	}
 	request, err := l.request(f)
 	if err != nil {
 		return err
@@ -129,6 +137,19 @@
 	return nil
 }
 
+// checkHeld fails with a *tomlfile.FieldError if the file holds the other list only. Applying it would delete every entry of this one.
+func (l *listCmd) checkHeld(file string, f lists.File) error {
+	held, otherHeld := f.Plans != nil, f.Allowances != nil
+	if l.kind == allowanceList {
+		held, otherHeld = otherHeld, held
+	}
+	if held || !otherHeld {
+		return nil
+	}
+	expected := fmt.Sprintf("expected the list of %s, but the file holds the other list; an empty list is written \"%s = []\"", l.kind.name, l.kind.table)
+	return &tomlfile.FieldError{File: file, Line: 1, Field: l.kind.table, Expected: expected}
+}
+
 func (l *listCmd) request(f lists.File) (apply.Request, error) {
 	r := apply.Request{Prefix: l.kind.prefix, Base: f.Revision, Operator: l.operator}
 	add := func(key, readContentHash string, v any) error {
--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -1,8 +1,10 @@
 package cmd
 
 import (
+	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -102,6 +104,89 @@
 	}
 }
 
+// TestApplyOfTheOtherListDeletesNothing guards against taking a file without a list for one whose list is empty.
+func TestApplyOfTheOtherListDeletesNothing(t *testing.T) {
+	d := deploy(t)
+	for _, kinds := range [][2]string{{"plans", "allowances"}, {"allowances", "plans"}} {
+		list, _ := runAsOperator(t, d, 0, kinds[0], "get")
+		other, _ := runAsOperator(t, d, 0, kinds[1], "get")
+		out, code := runAsOperator(t, d, 0, kinds[0], "apply", writeEdited(t, other, "revision", "revision"))
+		if code != 1 || !strings.Contains(out, "expected the list of "+kinds[0]) {
+			t.Errorf("%s: exit %d: %s", kinds[0], code, out)
+		}
+		if after, _ := runAsOperator(t, d, 0, kinds[0], "get"); after != list {
+			t.Errorf("%s before:\n%s\nafter:\n%s", kinds[0], list, after)
+		}
+	}
+}
+
+// TestLastKeysAndPlansAreTakenAway guards against admitting requests once no key or no plan is left in force, also after a restart.
+func TestLastKeysAndPlansAreTakenAway(t *testing.T) {
+	d := deploy(t)
+	keyHashes := regexp.MustCompile(`keyHashes = \[[^]]*\]`)
+	steps := []struct {
+		name string
+		edit func(list string) string
+	}{
+		{"keys", func(list string) string { return keyHashes.ReplaceAllString(list, "keyHashes = []") }},
+		{"plans", func(list string) string { return list[:strings.Index(list, "[[plan]]")] }},
+		{"nothing", func(list string) string {
+			if !strings.Contains(list, "plan = []") {
+				t.Errorf("the empty list is printed as %q", list)
+			}
+			return list
+		}},
+	}
+	restarted := d.Nodes()[1]
+	for _, step := range steps {
+		list, _ := runAsOperator(t, d, 0, "plans", "get")
+		file := filepath.Join(t.TempDir(), "list.toml")
+		if err := os.WriteFile(file, []byte(step.edit(list)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if out, code := runAsOperator(t, d, 0, "plans", "apply", file, "--wait"); code != 0 {
+			t.Fatalf("%s: exit %d: %s", step.name, code, out)
+		}
+		restarted.Kill()
+		if err := restarted.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if restarted, err = d.Restart(restarted); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(2 * propagationTimeout); !restarted.Router.Ready(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: the restarted router is not ready", step.name)
+			}
+		}
+		for _, address := range d.Addresses() {
+			for _, key := range []string{d.Site.Organisations[0].Key, "vk-foreign", ""} {
+				if status := postChat(t, address, key); status != http.StatusUnauthorized {
+					t.Errorf("%s taken away, %s: key %q is answered %d", step.name, address, key, status)
+				}
+			}
+		}
+	}
+}
+
+// postChat asks a router for a chat and returns the status.
+func postChat(t *testing.T, address, key string) int {
+	t.Helper()
+	body := `{"model":"any","messages":[{"role":"user","content":"x"}]}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 func TestRouterStartsWhileStoreIsDown(t *testing.T) {
 	d := deploy(t)
 	d.Site.Store.SetFaults(kv.Faults{Down: true})
--- a/version/lists/lists.go
+++ b/version/lists/lists.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/tomlfile"
@@ -49,7 +50,7 @@
 		ReadContentHash string `json:"-" toml:"readAs,omitempty"`
 	}
 
-	// File is the content of a list file: one list or both.
+	// File is the content of a list file: one list or both. A list that the file does not hold is nil; an empty one is not.
 	File struct {
 		// Revision is the revision of the configuration from which the file was written; 0 for a new list.
 		Revision   ident.Revision `toml:"revision,omitempty"`
@@ -65,6 +66,9 @@
 	}
 )
 
+// fileKeys are the top-level keys of list files.
+var fileKeys = []string{"revision", "plan", "allowance"}
+
 // Error returns the entry, the field and what was expected.
 func (e *EntryError) Error() string {
 	return fmt.Sprintf("%s: %s: %s", e.Entry, e.Field, e.Expected)
@@ -145,7 +149,8 @@
 	return f, nil
 }
 
-// IsListFile reports whether the file holds a table of either list and is therefore not a settings file.
+// IsListFile reports whether the file belongs to the lists and is therefore not a settings file: it has a table of either list, or it holds
+// nothing else, as after the last entry was removed from it.
 func IsListFile(data []byte) bool {
 	for _, line := range strings.Split(string(data), "\n") {
 		line = strings.TrimSpace(line)
@@ -153,7 +158,16 @@
 			return true
 		}
 	}
-	return false
+	var content map[string]any
+	if err := toml.Unmarshal(data, &content); err != nil || len(content) == 0 {
+		return false
+	}
+	for key := range content {
+		if !slices.Contains(fileKeys, key) {
+			return false
+		}
+	}
+	return true
 }
 
 // CheckReferences checks that each plan has an allowance. It fails with an *EntryError.
