fix(settings): a zero in the file of `serve` is not a field left out

Operators saw: `hedgeShare = 0.0` and `cacheWait = "0s"`, which the checks allow, were replaced by the defaults, so that neither hedging nor the wait could be turned off. `loadBound = 0.0`, `queueLimit = 0` and `class = []` got defaults instead of an error.

Cause: defaults were set after decoding, on each field with its zero value.

Change: they are set before decoding; the default classes only if there is no list of classes. An empty list of classes and a negative `cacheWait` are refused.

--- a/settings/load.go
+++ b/settings/load.go
@@ -38,19 +38,27 @@
 
 // Parse does the same as Load for the content of a file. The file name is used only in errors.
 func Parse(file string, data []byte) (Settings, error) {
+	// Defaults are set before decoding, since a zero in the file is a value and not a field that is left out.
 	var s Settings
+	s.setScalarDefaults()
 	if err := tomlfile.Decode(file, data, &s); err != nil {
 		return Settings{}, err
 	}
-	s.SetDefaults()
+	s.setClassDefaults()
 	if err := s.check(file, data); err != nil {
 		return Settings{}, err
 	}
 	return s, nil
 }
 
-// SetDefaults sets every optional field that has its zero value to its default.
+// SetDefaults sets every optional field that has its zero value to its default. Settings that a program builds have no other mark of a field
+// that is left out.
 func (s *Settings) SetDefaults() {
+	s.setScalarDefaults()
+	s.setClassDefaults()
+}
+
+func (s *Settings) setScalarDefaults() {
 	r := &s.Routing
 	setDefault(&r.LoadBound, defaultLoadBound)
 	setDefault(&r.LongShare, defaultLongShare)
@@ -63,7 +71,12 @@
 	setDefault(&r.GracefulShutdown, tomlfile.NewDuration(defaultGracefulShutdown))
 	setDefault(&s.Platform.ModelLoadsPerMinute, defaultLoadsPerMinute)
 	setDefault(&s.Log.Level, defaultLogLevel)
-	if len(r.Classes) == 0 {
+}
+
+// setClassDefaults sets the default classes unless there is a list of classes, which may be empty, and the waits that a class leaves out.
+func (s *Settings) setClassDefaults() {
+	r := &s.Routing
+	if r.Classes == nil {
 		r.Classes = []Class{{Name: "standard"}, {Name: "interactive", MaxWait: tomlfile.NewDuration(defaultInteractiveWait)}, {Name: "long", Long: true}}
 	}
 	for i := range r.Classes {
@@ -105,6 +118,8 @@
 		{s.Routing.LongShare > 0 && s.Routing.LongShare <= 1, "routing", "longShare", "expected a share between 0 and 1"},
 		{s.Routing.QueueLimit > 0, "routing", "queueLimit", "expected a count above 0"},
 		{s.Routing.HedgeShare >= 0 && s.Routing.HedgeShare <= 1, "routing", "hedgeShare", "expected a share between 0 and 1"},
+		{s.Routing.CacheWait.Std() >= 0, "routing", "cacheWait", "expected a duration of 0 or more"},
+		{len(s.Routing.Classes) > 0, "routing", "class", "expected at least one class"},
 		{s.Routing.FirstTokenTimeout.Std() > 0, "routing", "firstTokenTimeout", "expected a duration above 0"},
 		{s.Routing.StallTimeout.Std() > 0, "routing", "stallTimeout", "expected a duration above 0"},
 		{s.Routing.AddressValidity.Std() > 0, "routing", "addressValidity", "expected a duration above 0"},
