fix(callers): the hash of an empty operators' key admits nobody

Cause: the absent key of a request was hashed like an empty one.

Evidence: TestOperatorsKeyMustNotBeEmpty fails in 2 of 5 rows with the former code.

--- a/connection/callers/server.go
+++ b/connection/callers/server.go
@@ -145,8 +145,9 @@
 // requireOperator refuses requests without the operators' key.
 func (s *Server) requireOperator(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		key, _ := bearer(r)
-		if subtle.ConstantTimeCompare([]byte(lists.HashKey(key)), []byte(s.Settings.Operators.KeyHash)) != 1 {
+		key, ok := bearer(r)
+		// The hash of an empty key would admit requests without one.
+		if !ok || subtle.ConstantTimeCompare([]byte(lists.HashKey(key)), []byte(s.Settings.Operators.KeyHash)) != 1 {
 			writeRefusal(w, wire.Refuse(http.StatusUnauthorized, wire.CodeUnauthorised, "expected the operators' key in the Authorization header"))
 			return
 		}
