fix(mirror): deletions reach every replica, past those that never had the entry

Cause: a replica that got only the deletion of an entry, because the entry was put and deleted between two of its deltas, did not log the deletion. A replica that had the entry and fetched its changes from there kept it for good, although its revision and age were current: requests go to an engine that has left. The same held for the deletions within the span of a full read.

Change: the deletion of an unknown entry is logged. A full delta leaves a gap in the log, which deltas pass on; a replica whose revision lies in a gap gets a full delta. Revisions before the gap are served as before, so that a compaction of the store costs no more.

--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -223,12 +223,12 @@
 }
 
 // sendAck answers a ping with this instance's state and, if the sender's replica lags by at most maxInlineChanges, with the changes that it
-// lacks.
+// lacks. The peer fetches changes with gaps over TCP.
 func (n *Instance) sendAck(b heartbeat.Message) {
 	ack := n.newAck(b.SentAt)
 	kind := budget.Membership
 	if b.Revision > 0 && b.Revision < ack.Revision {
-		if d := n.mirror.Since(b.Revision); !d.Full && len(d.Entries) <= maxInlineChanges {
+		if d := n.mirror.Since(b.Revision); !d.Full && len(d.Gaps) == 0 && len(d.Entries) <= maxInlineChanges {
 			ack.Changes, ack.HasChanges, ack.Revision = d.Entries, true, d.Revision
 			kind = budget.Urgent
 		}
--- a/version/mirror/mirror.go
+++ b/version/mirror/mirror.go
@@ -26,8 +26,14 @@
 		Full     bool
 		Entries  []Entry
 		Revision ident.Revision
+		// Gaps are the gaps of the sender that the receiver inherits.
+		Gaps []Gap
 	}
 
+	// Gap is a span of revisions whose changes came as a full delta. That lacks the deletion of an entry that was put within the span, so that
+	// the changes do not serve a replica whose revision lies between After and Until.
+	Gap struct{ After, Until ident.Revision }
+
 	// Mirror is a replica of the store.
 	Mirror struct {
 		mu       sync.Mutex
@@ -39,6 +45,8 @@
 		log []Entry
 		// logStart is the revision after which log is complete.
 		logStart ident.Revision
+		// gaps are the gaps in the log.
+		gaps []Gap
 		// loaded says that a full delta was applied.
 		loaded bool
 	}
@@ -59,12 +67,18 @@
 		d.Entries = append(d.Entries, m.deletionsFor(d.Entries, d.Revision)...)
 		if !m.loaded {
 			m.logStart = d.Revision
+		} else if d.Revision > m.revision {
+			d.Gaps = []Gap{{After: m.revision, Until: d.Revision}}
 		}
 	}
+	if d.Revision > m.revision {
+		m.gaps = append(m.gaps, d.Gaps...)
+	}
 	var changed []Entry
 	for _, e := range d.Entries {
 		old, known := m.entries[e.Key]
-		if (known && e.Revision <= old.Revision) || (!known && e.Deleted) {
+		// The deletion of an unknown entry is logged, once, for replicas that know the entry.
+		if (known && e.Revision <= old.Revision) || (!known && e.Deleted && e.Revision <= m.revision) {
 			continue
 		}
 		if e.Deleted {
@@ -96,11 +110,11 @@
 	return m.revision, m.confirmedAt, m.loaded
 }
 
-// Since returns the last change of each key after revision, or a full delta if the log does not reach back that far.
+// Since returns the last change of each key after revision, or a full delta if the log does not hold all of these changes.
 func (m *Mirror) Since(revision ident.Revision) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision < m.logStart || revision == 0 {
+	if revision < m.logStart || revision == 0 || m.isInGap(revision) {
 		all := make([]Entry, 0, len(m.entries))
 		for _, e := range m.entries {
 			all = append(all, e)
@@ -116,7 +130,17 @@
 		}
 	}
 	slices.Reverse(changes)
-	return Delta{Entries: changes, Revision: m.revision}
+	return Delta{Entries: changes, Revision: m.revision, Gaps: m.gapsAfter(revision)}
+}
+
+// isInGap reports whether the log lacks deletions that a replica at revision may need.
+func (m *Mirror) isInGap(revision ident.Revision) bool {
+	return slices.ContainsFunc(m.gaps, func(g Gap) bool { return g.After < revision && revision < g.Until })
+}
+
+// gapsAfter returns the gaps that end after revision.
+func (m *Mirror) gapsAfter(revision ident.Revision) []Gap {
+	return slices.DeleteFunc(slices.Clone(m.gaps), func(g Gap) bool { return g.Until <= revision })
 }
 
 // Get returns the entry of a key, and false if there is none.
@@ -168,6 +192,7 @@
 	if excess := len(m.log) - maxLogEntries; excess > 0 {
 		m.logStart = m.log[excess-1].Revision
 		m.log = slices.Clone(m.log[excess:])
+		m.gaps = slices.DeleteFunc(m.gaps, func(g Gap) bool { return g.Until <= m.logStart })
 	}
 }
 
--- a/version/mirror/mirror_test.go
+++ b/version/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 
@@ -52,6 +53,26 @@
 	}
 }
 
+// TestDeletionOfAnUnknownKeyIsPassedOn guards against an entry that stays in a replica for good: a replica that gets only the deletion of an entry,
+// since a delta holds the last change of each key, must pass it on to those that got the entry.
+func TestDeletionOfAnUnknownKeyIsPassedOn(t *testing.T) {
+	first, second, third := New(), New(), New()
+	for _, m := range []*Mirror{first, second, third} {
+		m.Apply(Delta{Full: true, Entries: []Entry{entry("a", 1)}, Revision: 1})
+	}
+	first.Apply(Delta{Entries: []Entry{entry("engine", 2)}, Revision: 2})
+	third.Apply(first.Since(1))
+	first.Apply(Delta{Entries: []Entry{{Key: "engine", Revision: 3, Deleted: true}}, Revision: 3})
+	second.Apply(first.Since(1))
+	third.Apply(second.Since(2))
+	if _, ok := third.Get("engine"); ok {
+		t.Error("the entry is still in the third replica")
+	}
+	if again := second.Apply(first.Since(1)); len(again) > 0 {
+		t.Errorf("the deletion is applied twice: %+v", again)
+	}
+}
+
 func TestChangesBeforeAFullReadAreIgnored(t *testing.T) {
 	m := New()
 	m.Apply(Delta{Entries: []Entry{entry("a", 4)}, Revision: 4})
@@ -113,6 +134,47 @@
 	})
 }
 
+// TestReplicasConvergeThroughEachOther guards against entries that stay in a replica for good, whichever replicas the others fetch deltas from and
+// whenever they read the whole store.
+func TestReplicasConvergeThroughEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := New()
+		store.Apply(Delta{Full: true, Revision: 1})
+		replicas := []*Mirror{New(), New(), New(), New()}
+		for _, m := range replicas {
+			m.Apply(Delta{Full: true, Revision: 1})
+		}
+		revision := ident.Revision(1)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			to := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")]
+			at, _, _ := to.State()
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				to.Apply(Delta{Full: true, Entries: store.List(""), Revision: revision})
+			case 1, 2:
+				to.Apply(store.Since(at))
+			case 3, 4, 5:
+				to.Apply(replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "peer")].Since(at))
+			default:
+				revision++
+				e := entry("k"+strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "key")), revision)
+				_, known := store.Get(e.Key)
+				e.Deleted = known && rapid.Bool().Draw(t, "deleted")
+				store.Apply(Delta{Entries: []Entry{e}, Revision: revision})
+			}
+		}
+		replicas[0].Apply(Delta{Full: true, Entries: store.List(""), Revision: revision})
+		for i, m := range replicas[1:] {
+			at, _, _ := m.State()
+			m.Apply(replicas[i].Since(at))
+			want, got := store.List(""), m.List("")
+			if !slices.EqualFunc(want, got, func(a, b Entry) bool { return a.Key == b.Key && a.Revision == b.Revision }) {
+				t.Fatalf("replica %d holds %+v, want %+v", i+1, got, want)
+			}
+		}
+	})
+}
+
 // TestSinceReturnsOnlyTheLastChangeOfEachKey guards against sending every value of a key that changes often: configurations are large.
 func TestSinceReturnsOnlyTheLastChangeOfEachKey(t *testing.T) {
 	m := New()
