fix(placing): a service without engines is refused, not a panic

Cause: a prompt was spread over min(width, engines) engines, which is 0 without engines; drawing one of 0 panics. net/http recovered it and closed the connection, and nothing counted it.

Change: choosing among no engines returns at once, and the width is at least 1. A panic while a request is handled is counted and logged with the request's id, and fails the soak and the tests of fleets.

--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 	reasonStopping = "the instance is stopping"
 )
 
+// PanicMessage is the log message for a request whose handling panicked.
+const PanicMessage = "request panicked"
+
 // refusal is an error response that the instance itself gives.
 type refusal struct {
 	status     int
@@ -44,6 +48,7 @@
 // ServeHTTP admits a request and sends it to an engine, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	defer h.recordPanic(r)
 	if h.Stop().Closing {
 		w.Header().Set("Connection", "close")
 	}
@@ -68,6 +73,20 @@
 	h.refuse(w, r, *refused)
 }
 
+// recordPanic counts and logs a panic with the request's id, and ends the caller's connection. A panic that aborts an answer on purpose is passed on.
+func (h *Handler) recordPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	//nolint:errorlint,err113 // The value of a panic is compared, not an error chain.
+	if cause != http.ErrAbortHandler {
+		h.Metrics.Add("panics", 1)
+		h.Log.Error(PanicMessage, zap.String("request", r.Header.Get(h.Names.RequestID)), zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit returns the route and the organisation of a request, or a refusal. If the configuration is too old for a final decision,
 // the refusal is a 503 that invites a retry. A key is checked even if requests need none: it may have been revoked.
 func (h *Handler) admit(snapshot Snapshot, r *http.Request) (*routing.Route, ident.Organisation, *refusal) {
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -29,6 +29,8 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 const (
@@ -69,7 +71,10 @@
 		engine      *httptest.Server
 		runs        atomic.Int32
 		engineDelay time.Duration
-		listCalls   atomic.Int32
+		// errors and logged hold the log entries of level error and above.
+		errors    zapcore.Core
+		logged    *observer.ObservedLogs
+		listCalls atomic.Int32
 	}
 
 	instance struct {
@@ -157,6 +162,12 @@
 		writeAnswer(w, r)
 	}))
 	t.Cleanup(f.engine.Close)
+	f.errors, f.logged = observer.New(zap.ErrorLevel)
+	t.Cleanup(func() {
+		if panics := f.logged.FilterMessage(forward.PanicMessage).All(); len(panics) > 0 {
+			t.Errorf("requests panicked: %+v", panics)
+		}
+	})
 	f.configure(testConfiguration{Version: 1, Keys: []string{oneKey, otherKey}, Path: "/p/"})
 	f.store.Put("engines/e1", []byte(strings.TrimPrefix(f.engine.URL, "http://")))
 	for i := range size {
@@ -221,7 +232,7 @@
 	f.t.Helper()
 	n := f.nodes[i]
 	n.settings.Instance.FirstStart = first
-	node, err := entry.New(n.settings, f.platform(n.client), zap.NewNop(), time.Now())
+	node, err := entry.New(n.settings, f.platform(n.client), zap.New(f.errors), time.Now())
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -110,6 +110,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := all.OfService(r.Service)
+	if len(list) == 0 {
+		return Choice{}, nil, false
+	}
 	states := make([]*engineState, len(list))
 	for i, e := range list {
 		states[i] = t.engineState(e.Key)
--- a/request/placing/hot.go
+++ b/request/placing/hot.go
@@ -9,7 +9,7 @@
 const minHotCount = 2
 
 // spreadWidth returns the number of engines over which the requests for the subject of a prompt are spread, so that each engine stays
-// below limit. The service has the given number of engines with the given mean load, and that many instances choose among them. A burst of
+// below limit, and at least 1. The service has the given number of engines with the given mean load, and that many instances choose among them. A burst of
 // requests for one subject can bring an engine over its bound before other instances receive its load, so a hot or surging subject is
 // spread before the load is known.
 func (t *Table) spreadWidth(parts []Part, instances, engines int, mean, limit float64, now time.Time) int {
@@ -24,6 +24,7 @@
 	if now.Before(subject.surge.until) {
 		width = surgeWidth(instances)
 	}
+	engines = max(engines, 1)
 	if subject.requests.At(now) < minHotCount {
 		return min(width, engines)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -8,12 +9,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/logs"
 	"github.com/vanillaroute/vanillaroute/pause"
@@ -154,6 +157,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.checkPanics(); err != nil {
+		return err
+	}
 	fmt.Fprintf(o.Out, "seed %d: %d calls, %d requests at engines, %d faults, %d crashes on requests, %d limits, no guarantee violated\n", o.Seed, len(r.callers.calls), len(r.executions.visits), len(r.faults), len(slices.Concat(slices.Collect(maps.Values(r.executions.crashTimes()))...)), len(r.executions.limits))
 	return nil
 }
@@ -410,6 +416,22 @@
 	return nil
 }
 
+// checkPanics fails with a *ViolationError if an instance has logged a panic.
+func (r *run) checkPanics() error {
+	for _, n := range r.instances {
+		log, err := os.ReadFile(n.logFile)
+		if err != nil {
+			return errors.Wrap(err, "read log")
+		}
+		for line := range bytes.Lines(log) {
+			if bytes.Contains(line, []byte(forward.PanicMessage)) {
+				return &ViolationError{Guarantee: "no panics", Detail: string(bytes.TrimSpace(line)), Seed: r.Seed}
+			}
+		}
+	}
+	return nil
+}
+
 // violation returns the error for a violated guarantee, with the timeline of the request from all logs.
 func (r *run) violation(guarantee string, c call, detail string) error {
 	e := &ViolationError{Guarantee: guarantee, Request: c.id, Detail: fmt.Sprintf("%s at %s, sent %s: %s", c.path, c.instance, c.sentAt.Format(time.StampMilli), detail), Seed: r.Seed}
