fix(forward): an answer without a length is whole only if its engine still runs

Cause: such an answer counted as complete unless the engine's address refused a connection at the moment of its end. The connections of a killed process end one after the other while its address still accepts others; another engine, or a later incarnation, accepts them too; and an engine that was expected to stop was not asked at all.

Change: an answer of the engine at its health path, after the end, is the sign that it still runs; another id or a later incarnation is not. Engines that are expected to stop are asked too: a stream goes on elsewhere or ends visibly incomplete; a plain answer is repeated where the route allows it and is given otherwise.

--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -33,6 +33,8 @@
 		// ExpectedEngine names the field with the id of the engine that the request is addressed to. Another engine that has
 		// taken over the address answers 421.
 		ExpectedEngine string
+		// EngineID names the field with the id of the engine in its answers at the health path.
+		EngineID string
 		// ResponseSeal names the field that an engine sets on its own answers.
 		ResponseSeal string
 		// NotRun names the field that an engine sets if it did not run the request.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -95,7 +95,7 @@
 		retryReserved atomic.Bool
 		// sends counts the attempts that reached an engine, and runs those that the engine may have run.
 		sends, runs int
-		// lastFailure is an engine's 5xx answer, relayed to the caller if no later attempt succeeds.
+		// lastFailure is an engine's 5xx answer, or one that may lack its end, relayed to the caller if no later attempt succeeds.
 		lastFailure *bufferedAnswer
 		placement   placement
 		// stream is the state of a streamed answer, or nil before its header was written to the caller.
@@ -385,7 +385,11 @@
 		return resultFailed
 	}
 	if ok && x.mayBeCut(ctx, resp, e) {
-		x.reason = "the engine crashed as its answer ended with the connection"
+		x.reason = "the engine has ended, and its answer with the connection"
+		if x.isStopping(e) {
+			// The answer may be its last one, and is given if no other engine may run the request.
+			x.lastFailure = a
+		}
 		return resultLost
 	}
 	x.Table.RecordSuccess(e, now)
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -34,13 +34,15 @@
 const (
 	key     = "key-one"
 	service = ident.Service("s")
+	// healthPath is the path at which the fake engines answer for themselves.
+	healthPath = "/health"
 	// testMemoryBytes is more than the tests need.
 	testMemoryBytes = 64 << 20
 )
 
 var testNames = HeaderNames{
 	RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", PromptParts: "X-Parts", LastEventID: "X-Last", Organisation: "X-Organisation",
-	ExpectedEngine: "X-Expect", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", FetchFrom: "X-Fetch", Reserved: []string{"X-Expect", "X-Fetch", "X-Reserved"},
+	ExpectedEngine: "X-Expect", EngineID: "X-Engine", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", FetchFrom: "X-Fetch", Reserved: []string{"X-Expect", "X-Fetch", "X-Reserved"},
 	ParseParts: func(s string) ([]string, []int) { return []string{s}, []int{100} },
 	ParseLoad:  func(string) (placing.Report, bool) { return placing.Report{}, false },
 }
@@ -68,7 +70,12 @@
 	f := &fixture{}
 	var all []engines.Engine
 	for i := range 3 {
+		id := fmt.Sprint("e", i)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == healthPath {
+				w.Header().Set(testNames.EngineID, id)
+				return
+			}
 			body, _ := io.ReadAll(r.Body)
 			f.mu.Lock()
 			f.headers = append(f.headers, r.Header.Clone())
@@ -79,14 +86,17 @@
 		}))
 		t.Cleanup(server.Close)
 		f.servers = append(f.servers, server)
-		all = append(all, engines.Engine{ID: ident.Engine(fmt.Sprint("e", i)), Service: service, Address: strings.TrimPrefix(server.URL, "http://")})
+		all = append(all, engines.Engine{ID: ident.Engine(id), Service: service, Address: strings.TrimPrefix(server.URL, "http://")})
 	}
 	route.Host, route.PathPrefix, route.Backends = "h.example", "/p/", []routing.Backend{{Service: service, Weight: 1}}
 	if route.Timeout == 0 {
 		route.Timeout = 2 * time.Second
 	}
 	route.MaxEngines = max(route.MaxEngines, 1)
-	configuration := routing.New(1, routing.Limits{MaxBodyBytes: 1000}, []routing.Route{route}, routing.Access{Organisations: []routing.Organisation{{Name: "museum", Keys: []string{key}}}})
+	configuration := routing.New(routing.Content{
+		Version: 1, Limits: routing.Limits{MaxBodyBytes: 1000}, Services: []routing.Service{{Name: service, HealthPath: healthPath}}, Routes: []routing.Route{route},
+		Access: routing.Access{Organisations: []routing.Organisation{{Name: "museum", Keys: []string{key}}}},
+	})
 	f.engines.Store(engines.NewList(all))
 	f.handler = New(Dependencies{
 		Memory: sizelimit.NewBudget(testMemoryBytes),
@@ -357,6 +367,10 @@
 		{"not resumable", routing.Route{Kind: routing.Stream}, false, events(1, 3), "", false, 1},
 		{"resumable", routing.Route{Kind: routing.Stream, Resumable: true, MaxEngines: 2, TargetFirstByte: time.Second}, false, events(1, 3), events(4, last), true, 2},
 		{"draining", routing.Route{Kind: routing.NonIdempotent}, true, "whole", "", true, 1},
+		{"draining, repeatable", routing.Route{Kind: routing.Idempotent, MaxEngines: 2, TargetFirstByte: time.Second}, true, "wh", "whole", true, 2},
+		{"draining, not repeatable again", routing.Route{Kind: routing.Idempotent}, true, "whole", "", true, 1},
+		{"draining, not resumable", routing.Route{Kind: routing.Stream}, true, events(1, 3), "", false, 1},
+		{"draining, resumable", routing.Route{Kind: routing.Stream, Resumable: true, MaxEngines: 2, TargetFirstByte: time.Second}, true, events(1, 3), events(4, last), true, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -145,15 +145,6 @@
 	}
 }
 
-// mayBeCut reports whether an answer that ended with its connection may lack its end because the engine has crashed. An engine that is draining or
-// no longer registered may have stopped after it.
-func (x *exchange) mayBeCut(ctx context.Context, resp *upstream.Response, e engines.Engine) bool {
-	if resp.Framed {
-		return false
-	}
-	return !x.isStopping(e) && x.checkCrashed(ctx, e)
-}
-
 // isStopping reports whether an engine is expected to stop: it has said so, is draining or is no longer registered.
 func (x *exchange) isStopping(e engines.Engine) bool {
 	current, registered := x.Snapshot().Engines.Get(e.Key)
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -115,7 +115,7 @@
 func (x *exchange) finishStream(ctx context.Context, resp *upstream.Response, err error, partialBytes int, mayEnd bool, e engines.Engine) result {
 	if errors.Is(err, io.EOF) && partialBytes == 0 && mayEnd {
 		if x.mayBeCut(ctx, resp, e) {
-			return x.failStream(errors.New("the engine crashed as the stream ended with the connection"), e)
+			return x.failStream(errors.New("the engine has ended, and the stream with the connection"), e)
 		}
 		x.recordAnswered(true)
 		x.logEnd(outcomeAnswered, http.StatusOK)
--- a/connection/upstream/client.go
+++ b/connection/upstream/client.go
@@ -11,12 +11,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
-	// probeTimeout bounds the connection attempt that checks whether an engine's process is still listening.
-	probeTimeout = 30 * time.Millisecond
 	// maxIdlePerEngine bounds the idle connections in the pool per engine.
 	maxIdlePerEngine = 8
 	// headBytes is what the head of most requests fits into.
@@ -109,15 +106,6 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: isFramed(resp)}, nil
 }
 
-// ConnectionRefused reports whether an address refuses a connection attempt. It returns false if there is no reply within 30 ms.
-func ConnectionRefused(ctx context.Context, address string) bool {
-	c, err := dial(ctx, address, probeTimeout)
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, unix.ECONNREFUSED)
-}
-
 // CloseIdle closes the idle connections to addresses for which inUse returns false, and those that have exceeded their idle time-out.
 func (c *Client) CloseIdle(inUse func(address string) bool, now time.Time) {
 	c.mu.Lock()
--- /dev/null
+++ b/connection/upstream/life.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// refusalTimeout bounds the connection attempt that checks whether an engine's process is still listening.
+	refusalTimeout = 30 * time.Millisecond
+	// healthTimeout bounds a question for an engine's health.
+	healthTimeout = 100 * time.Millisecond
+)
+
+// What a question for an engine's health shows.
+const (
+	// Silent engines have not answered in time.
+	Silent Life = iota
+	// Alive engines have answered.
+	Alive
+	// ResetByPeer means that the connection was accepted and then ended without an answer: the engine is ending, or has as many connections as it accepts.
+	ResetByPeer
+	// Ended engines refuse connections, or another engine answers at their address.
+	Ended
+)
+
+// Life says whether an engine's process still runs.
+type Life uint8
+
+// ConnectionRefused reports whether an address refuses a connection attempt. It returns false if there is no reply within 30 ms.
+func ConnectionRefused(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address, refusalTimeout)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, unix.ECONNREFUSED)
+}
+
+// AskHealth asks an engine for its health, at a path and over a connection of its own. isEngine reports whether the header of the answer is that of the
+// engine.
+func AskHealth(ctx context.Context, address, path string, isEngine func(http.Header) bool) Life {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	c, err := dial(ctx, address, healthTimeout)
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return Ended
+	case err != nil:
+		return Silent
+	}
+	defer func() { _ = c.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
+	resp, _, err := c.roundTrip(&Request{Method: http.MethodGet, Target: path, Host: address, Matches: func(http.Header) bool { return true }})
+	switch {
+	case err == nil:
+		_ = resp.Body.Close()
+		if isEngine(resp.Header) {
+			return Alive
+		}
+		return Ended
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE):
+		return ResetByPeer
+	}
+	return Silent
+}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -127,7 +127,7 @@
 	if c.Access != nil {
 		access = *c.Access
 	}
-	return routing.New(c.Version, routing.Limits{}, []routing.Route{route, many, busy, quiet, patient}, access), nil
+	return routing.New(routing.Content{Version: c.Version, Routes: []routing.Route{route, many, busy, quiet, patient}, Access: access}), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -82,12 +82,29 @@
 		IdleTimeout  time.Duration
 	}
 
+	// Service is what the configuration says of a service.
+	Service struct {
+		Name ident.Service
+		// HealthPath is the path at which each engine answers for itself, or "" if it is not known.
+		HealthPath string
+	}
+
+	// Content is the content of one version of the configuration.
+	Content struct {
+		Version  Version
+		Limits   Limits
+		Services []Service
+		Routes   []Route
+		Access   Access
+	}
+
 	// Configuration is one version of the configuration. It is immutable.
 	Configuration struct {
 		Version Version
 		Limits  Limits
 		// byHost holds the routes of each lower-case host, longest prefix first.
-		byHost map[string][]Route
+		byHost      map[string][]Route
+		healthPaths map[ident.Service]string
 		// open says that requests need no key.
 		open      bool
 		keyOwners map[[sha256.Size]byte]ident.Organisation
@@ -96,21 +113,24 @@
 	}
 )
 
-// New returns a configuration with the given routes and access.
-func New(v Version, limits Limits, routes []Route, access Access) *Configuration {
+// New returns a configuration with the given content.
+func New(content Content) *Configuration {
 	c := &Configuration{
-		Version: v, Limits: limits, open: access.Open,
+		Version: content.Version, Limits: content.Limits, open: content.Access.Open, healthPaths: make(map[ident.Service]string),
 		byHost: make(map[string][]Route), keyOwners: make(map[[sha256.Size]byte]ident.Organisation),
 		priorities: make(map[ident.Organisation]Priority),
 	}
-	for _, r := range routes {
+	for _, s := range content.Services {
+		c.healthPaths[s.Name] = s.HealthPath
+	}
+	for _, r := range content.Routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
-	for _, o := range access.Organisations {
+	for _, o := range content.Access.Organisations {
 		for _, key := range o.Keys {
 			if key == "" {
 				// A request without a key must not match it.
@@ -139,6 +159,9 @@
 // NeedsKeys reports whether requests on routes that are not public must carry a key. They must also while no organisation has one.
 func (c *Configuration) NeedsKeys() bool { return !c.open }
 
+// HealthPath returns the path at which the engines of a service answer for themselves, or "" if it is not known.
+func (c *Configuration) HealthPath(s ident.Service) string { return c.healthPaths[s] }
+
 // PromptServices returns the services whose engines cache parts of prompts.
 func (c *Configuration) PromptServices() []ident.Service {
 	var list []ident.Service
--- a/version/routing/routing_test.go
+++ b/version/routing/routing_test.go
@@ -8,11 +8,11 @@
 )
 
 func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
-	c := New(1, Limits{}, []Route{
+	c := New(Content{Version: 1, Routes: []Route{
 		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
 		{Name: "long", Host: "A.example", PathPrefix: "/x/y/"},
 		{Name: "other", Host: "b.example", PathPrefix: "/"},
-	}, Access{})
+	}})
 	tests := []struct{ host, path, want string }{
 		{"a.example", "/x/1", "short"},
 		{"a.EXAMPLE", "/x/y/1", "long"},
@@ -32,7 +32,7 @@
 }
 
 func TestAuthenticateNeedsTheWholeKey(t *testing.T) {
-	c := New(1, Limits{}, nil, Access{Organisations: []Organisation{{Name: "museum", Keys: []string{"key-one", "key-two", ""}}}})
+	c := New(Content{Version: 1, Access: Access{Organisations: []Organisation{{Name: "museum", Keys: []string{"key-one", "key-two", ""}}}}})
 	tests := []struct {
 		key  string
 		want ident.Organisation
