fix(forward): a rejected request is not sent on after its caller has left

Cause: non-idempotent requests are detached from their caller, since a run cannot be undone; the loop over engines asked that context only.

Change: no further attempt begins once the caller has left.

Evidence: TestRejectedRequestIsNotSentOnAfterItsCallerLeft failed before for non-idempotent requests, at 3 engines instead of 1.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -120,7 +120,7 @@
 func (x *exchange) run() {
 	ctx := x.r.Context()
 	if x.route.Kind == routing.NonIdempotent {
-		// A run can't be undone or repeated, so it is not cancelled when the caller disconnects.
+		// A run can't be undone or repeated, so it is not cancelled when the caller disconnects. No further one is begun then.
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(deadlineGrace))
@@ -129,7 +129,7 @@
 	for {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
-		if ctx.Err() != nil || !x.mayContinue(now) {
+		if ctx.Err() != nil || x.r.Context().Err() != nil || !x.mayContinue(now) {
 			break
 		}
 		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -280,6 +280,28 @@
 	}
 }
 
+// TestRejectedRequestIsNotSentOnAfterItsCallerLeft guards against offering a request that an engine has rejected to another one for nobody.
+func TestRejectedRequestIsNotSentOnAfterItsCallerLeft(t *testing.T) {
+	for _, kind := range []routing.Kind{routing.NonIdempotent, routing.Idempotent, routing.Stream} {
+		f := newFixture(t, routing.Route{Kind: kind, MaxEngines: 3}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(150 * time.Millisecond)
+			writeNotRun(w)
+		})
+		_, _, err := f.send(t, func(r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
+			t.Cleanup(cancel)
+			*r = *r.WithContext(ctx)
+		})
+		if err == nil {
+			t.Fatal("the caller did not disconnect")
+		}
+		time.Sleep(400 * time.Millisecond)
+		if n := f.runs.Load(); n != 1 {
+			t.Errorf("kind %d: offered to %d engines", kind, n)
+		}
+	}
+}
+
 func TestIdempotentRequestIsCancelledWhenCallerDisconnects(t *testing.T) {
 	ended := make(chan struct{})
 	f := newFixture(t, routing.Route{Kind: routing.Idempotent, MaxEngines: 2}, func(_ int, _ http.ResponseWriter, r *http.Request) {
