fix(suspects): what is refused because engines crashed on it is tried again

Cause: nothing but an answer clears a culprit, and what is refused is never answered; the entry in the store is renewed while requests come.

Change: one instance of the fleet, the same for all, tries one request after 3 s, and again after 4 times as long for each trial or crash since. An answer clears the culprit in the fleet and in the store. A trial that reaches no engine does not count. An engine that has written events for longer than it would take to crash acquits the request and its parts, before the answer is complete.

The tests of guilty parts and requests are unchanged.

--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -84,6 +84,8 @@
 		Client   *upstream.Client
 		// Crashes holds the evidence of the fleet on the requests and parts of prompts on which engines crash.
 		Crashes *suspects.Crashes
+		// IsTester reports whether this instance is the one of the fleet that tries requests for a culprit; nil means that none are tried.
+		IsTester func(suspects.Culprit) bool
 		// Admission decides which requests to plain services are offered to engines.
 		Admission *admission.Controller
 		Metrics   *metrics.Registry
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -93,6 +94,10 @@
 		expectedTime time.Duration
 		// retryReserved says that the retry was already taken from the budget when the last attempt was abandoned.
 		retryReserved atomic.Bool
+		// onTrial says that the request, or a part of its prompt, is known to crash engines and is tried in spite of that.
+		onTrial bool
+		// acquitted says that the request and the parts of its prompt count as answered.
+		acquitted bool
 		// sends counts the attempts that reached an engine, and runs those that the engine may have run.
 		sends, runs int
 		// lastFailure is an engine's 5xx answer, or one that may lack its end, relayed to the caller if no later attempt succeeds.
@@ -132,14 +137,7 @@
 		if ctx.Err() != nil || x.r.Context().Err() != nil || !x.mayContinue(now) {
 			break
 		}
-		if x.Crashes.Parts.Refuses(x.subjects.Parts, now) {
-			x.crashesEngines, x.verdict = true, "engines crash on a part of the prompt"
-			x.Metrics.Add("culpritsRefused", 1)
-			break
-		}
-		if x.Crashes.Requests.Refuses([]suspects.ID{x.subjects.Request}, now) {
-			x.crashesEngines, x.verdict = true, "the request crashed as many engines as it may"
-			x.Metrics.Add("suspectsRefused", 1)
+		if x.isRefusedAsCulprit(now) {
 			break
 		}
 		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried}
@@ -168,9 +166,44 @@
 		x.logFailed(choice, result)
 		x.tried = append(x.tried, choice.Engine.ID)
 	}
+	if x.onTrial && x.sends == 0 {
+		x.Crashes.ReturnTrial(x.subjects, time.Now())
+	}
 	x.giveUp(ctx)
 }
 
+// isRefusedAsCulprit reports whether the request, or a part of its prompt, is known to crash engines and is not tried in spite of that. It sets verdict if so.
+func (x *exchange) isRefusedAsCulprit(now time.Time) bool {
+	byPart := x.Crashes.Parts.Refuses(x.subjects.Parts, now)
+	byRequest := x.Crashes.Requests.Refuses([]suspects.ID{x.subjects.Request}, now)
+	if (!byPart && !byRequest) || x.takeTrial(now) {
+		return false
+	}
+	x.crashesEngines = true
+	if byPart {
+		x.verdict = "engines crash on a part of the prompt"
+		x.Metrics.Add("culpritsRefused", 1)
+		return true
+	}
+	x.verdict = "the request crashed as many engines as it may"
+	x.Metrics.Add("suspectsRefused", 1)
+	return true
+}
+
+// takeTrial reports whether the request is tried. It is, at one engine, if this instance is the tester and a trial is due.
+func (x *exchange) takeTrial(now time.Time) bool {
+	if x.onTrial {
+		return x.runs == 0
+	}
+	if x.IsTester == nil || !x.Crashes.TakeTrial(x.subjects, x.IsTester, now) {
+		return false
+	}
+	x.onTrial = true
+	x.Metrics.Add("culpritsTried", 1)
+	x.Log.Warn("culprit tried", zap.String("request", string(x.id)), zap.Stringer("fingerprint", x.subjects.Request), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
+	return true
+}
+
 // admitted counts a request to a plain service and reports whether it is offered to engines. It sets verdict if not. Streams are admitted: their engines
 // run many requests together, so a request's time is not the time that it waits.
 func (x *exchange) admitted(r placing.Request, now time.Time) bool {
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -97,6 +97,7 @@
 			inFlight.PrefillDone(now)
 			x.Table.RecordSuccess(e, now)
 		}
+		x.acquit(time.Now())
 		if !x.stream.follows(event) {
 			return x.failStream(errors.New("the engine repeated an event"), e)
 		}
@@ -109,6 +110,14 @@
 	}
 }
 
+// acquit records, once, that an engine has written an answer for longer than one that crashes on the request would: it does so as it begins.
+func (x *exchange) acquit(now time.Time) {
+	if !x.acquitted && now.Sub(x.answeringSince) > beginWindow {
+		x.acquitted = true
+		x.Crashes.RecordAnswer(x.subjects, true, now)
+	}
+}
+
 // finishStream ends the attempt after a read error. The stream is complete only if it ended with EOF, with no partial event read. It may end
 // without an event of this attempt if earlier attempts brought all of them, unless the answer has neither length nor chunks: the engine may then
 // have crashed before the first event.
--- a/process/entry/crashing_test.go
+++ b/process/entry/crashing_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/standin/memstore"
 )
 
@@ -238,6 +239,35 @@
 	}
 }
 
+// TestSoundPartIsServedAgainAfterARestart guards against refusing a sound part for good: all instances restart, so that none knows an answer on it, while
+// the store holds it as one that crashes engines.
+func TestSoundPartIsServedAgainAfterARestart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	c := startCrashingEngines(f, 2, engineRunTime)
+	f.store.Put("culprits/"+suspects.Culprit{suspects.NewPart("shared")}.String(), []byte("refused"))
+	f.haltAll()
+	for i := range f.nodes {
+		f.start(i, false)
+	}
+	if status := f.askWithParts(0, oneKey, "/p/x", "shared,first"); status != http.StatusServiceUnavailable {
+		t.Fatalf("the part that the store holds is answered with %d", status)
+	}
+	n := 0
+	for i := range f.nodes {
+		f.eventually(func() bool {
+			n++
+			for other := range f.nodes {
+				f.askWithParts(other, oneKey, "/p/x", fmt.Sprint("shared,own-", other, "-", n))
+			}
+			return f.askWithParts(i, oneKey, "/p/x", fmt.Sprint("shared,own-", n)) == http.StatusOK
+		}, "instance %d still refuses the part", i)
+	}
+	if n := len(c.crashTimes()); n > 0 {
+		t.Errorf("%d engines crashed", n)
+	}
+}
+
 // TestOrdinaryCrashesStopNoPart guards against refusing sound requests because several engines crashed while they ran them.
 func TestOrdinaryCrashesStopNoPart(t *testing.T) {
 	const engineCount = 6
--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -205,6 +205,9 @@
 	return ordered
 }
 
+// isTester reports whether this instance is the one that tries requests for a culprit, according to the instances that it knows to be alive.
+func (n *Instance) isTester(c suspects.Culprit) bool { return n.ranked(c)[0] == n.self }
+
 // storeCulprits writes culprits to the store, so that instances that start later know them, until ctx ends. The instance of highest rank
 // writes first; the others follow if the entry does not appear.
 func (n *Instance) storeCulprits(ctx context.Context) error {
--- a/request/suspects/culprits.go
+++ b/request/suspects/culprits.go
@@ -41,8 +41,9 @@
 	}
 
 	storedCulprit struct {
-		ids                Culprit
-		knownAt, refusedAt time.Time
+		ids Culprit
+		// since is when this instance learned that it is stored, and knownAt when it was last stored again.
+		since, knownAt, refusedAt time.Time
 	}
 
 	// candidate is the subjects on which the same engines crashed since the last answer, and these crashes.
@@ -110,7 +111,12 @@
 func (t *Tracker) SetStored(c Culprit, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stored[c.String()] = storedCulprit{ids: c, knownAt: now}
+	name := c.String()
+	since := now
+	if known, ok := t.stored[name]; ok {
+		since = known.since
+	}
+	t.stored[name] = storedCulprit{ids: c, since: since, knownAt: now}
 }
 
 // RemoveStored records that a culprit has left the store. Its subjects then count as answered now, except those of other stored culprits.
--- a/request/suspects/policy.go
+++ b/request/suspects/policy.go
@@ -7,6 +7,9 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
+// trialWait is longer than an engine that has crashed takes to be back.
+const trialWait = 3 * time.Second
+
 // incidentSpan is the time within which crashes are one incident: all engines may crash at once, with all the requests that they run.
 const incidentSpan = 300 * time.Millisecond
 
@@ -30,18 +33,21 @@
 		Joint bool
 		// StoresOnlyRefused says that a culprit is not stored before a request was refused for it.
 		StoresOnlyRefused bool
+		// TrialWait is the time after which one request for a culprit is tried, or 0 if none is: nothing else shows that the culprit is sound, since what
+		// is refused is never answered. The time is trialGrowth times as long after each trial without an answer.
+		TrialWait time.Duration
 	}
 )
 
 // RequestPolicy returns the policy for whole requests, which crash at most two engines unless several run them at the same time. Most of them never
 // come again.
 func RequestPolicy() Policy {
-	return Policy{Unanswered: Proof{Crashes: MaxEngines, Incidents: 1}, Answered: Proof{Crashes: 4, Incidents: 2}, StoresOnlyRefused: true}
+	return Policy{Unanswered: Proof{Crashes: MaxEngines, Incidents: 1}, Answered: Proof{Crashes: 4, Incidents: 2}, StoresOnlyRefused: true, TrialWait: trialWait}
 }
 
 // PartPolicy returns the policy for parts of prompts. Many sound requests share them.
 func PartPolicy() Policy {
-	return Policy{Unanswered: Proof{Crashes: 3, Incidents: 2}, Answered: Proof{Crashes: 5, Incidents: 3}, ObjectionTime: 300 * time.Millisecond, Joint: true}
+	return Policy{Unanswered: Proof{Crashes: 3, Incidents: 2}, Answered: Proof{Crashes: 5, Incidents: 3}, ObjectionTime: 300 * time.Millisecond, Joint: true, TrialWait: trialWait}
 }
 
 // proof returns the proof that is needed against a subject, by whether engines have answered it before.
--- a/request/suspects/tracker.go
+++ b/request/suspects/tracker.go
@@ -56,6 +56,8 @@
 		outdated  bool
 		// stored are the culprits in the platform's store, by their texts.
 		stored map[string]storedCulprit
+		// trials are the trials of culprits, by the texts of these.
+		trials map[string]trials
 	}
 
 	state struct {
@@ -79,7 +81,7 @@
 // newTracker returns a Tracker that sends on changed when TakeChanged has something to return.
 func newTracker(p Policy, changed chan struct{}) *Tracker {
 	return &Tracker{
-		policy: p, suspects: newLRU[*state](maxSubjects), answered: newLRU[time.Time](maxAnswered), changed: changed, stored: make(map[string]storedCulprit),
+		policy: p, suspects: newLRU[*state](maxSubjects), answered: newLRU[time.Time](maxAnswered), changed: changed, stored: make(map[string]storedCulprit), trials: make(map[string]trials),
 	}
 }
 
@@ -179,6 +181,7 @@
 			t.outdated = true
 		}
 	}
+	t.pruneTrials()
 }
 
 // suspect returns the state of a subject, which it creates with the last answer of this instance.
