--- a/soak/engine.go
+++ b/soak/engine.go
@@ -187,6 +187,10 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := ident.Request(r.Header.Get(e.names.RequestID))
 	w.Header().Set(e.names.RequestID, string(id))
+	if r.URL.Path == standin.HealthPath {
+		w.Header().Set(e.names.EngineID, string(e.currentID()))
+		return
+	}
 	if r.Header.Get(e.names.ExpectedEngine) != string(e.currentID()) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
