perf(heartbeat): holders in runs, so that pings carry them beside loads

Without holders, returning chats miss the engines that have read their prompts.

Change: holders are an extension of their own, in runs with the same engine and age: an engine reads the parts of a prompt at one time. Earlier versions ignore it, and the field that they read is empty.

--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -69,7 +69,7 @@
 		Changes    []mirror.Entry
 		HasChanges bool
 		// LocalLoads counts the sender's own requests at engines that report no load, and is nil if it is left out. ReportedLoads holds the loads that the other
-		// engines reported to the sender. Both and the holders are sent in an extension; earlier versions send them here.
+		// engines reported to the sender. Both and the holders are sent in extensions; earlier versions send them here.
 		LocalLoads    map[engines.Key]int
 		ReportedLoads []Load
 		// Backoffs lists the engines that the sender could not reach.
@@ -94,8 +94,8 @@
 		Running []ServiceLoad `msgpack:"-"`
 	}
 
-	// surgeExtension, partExtension, limitExtension, crashExtension, demandExtension and loadExtension follow the message in a datagram, in this order. An instance of an earlier
-	// version ignores those that it does not know, whereas it rejects a Message with another number of fields.
+	// surgeExtension, partExtension, limitExtension, crashExtension, demandExtension, loadExtension and holderExtension follow the message in a datagram, in this order. An
+	// instance of an earlier version ignores those that it does not know, whereas it rejects a Message with another number of fields.
 	surgeExtension struct {
 		Surges []placing.PartID
 	}
@@ -122,6 +122,11 @@
 		Packed []byte
 	}
 
+	holderExtension struct {
+		// Packed is encoded by packHolders.
+		Packed []byte
+	}
+
 	// ServiceLoad is the number of an instance's own requests at the engines of a service.
 	ServiceLoad struct {
 		Service  ident.ServiceID
@@ -244,9 +249,9 @@
 }
 
 // Encode returns the datagram of a heartbeat. A message that exceeds MaxDatagramBytes first loses its changes, then half of its holders
-// at a time, and last its loads and observations. Extensions other than that of the loads are not counted.
+// at a time, and last its loads and observations. Extensions other than those of the loads and holders are not counted.
 func Encode(m Message) []byte {
-	body, packed := encodeMessage(m)
+	body, loads, holders := encodeMessage(m)
 	extensions := []struct {
 		value any
 		empty bool
@@ -256,7 +261,8 @@
 		{limitExtension{Limits: m.Limits}, len(m.Limits) == 0},
 		{crashExtension{Requests: m.Requests, Ends: m.Ends}, len(m.Requests)+len(m.Ends) == 0},
 		{demandExtension{Demands: m.Demands}, len(m.Demands) == 0},
-		{loadExtension{Packed: packed}, len(packed) == 0},
+		{loadExtension{Packed: loads}, len(loads) == 0},
+		{holderExtension{Packed: holders}, len(holders) == 0},
 	}
 	for len(extensions) > 0 && extensions[len(extensions)-1].empty {
 		extensions = extensions[:len(extensions)-1]
@@ -283,6 +289,11 @@
 			err := decodeExtension(&rest, func(e loadExtension) { loadErr = unpackLoads(e.Packed, &m) })
 			return cmp.Or(err, loadErr)
 		},
+		func() error {
+			var holderErr error
+			err := decodeExtension(&rest, func(e holderExtension) { holderErr = unpackHolders(e.Packed, &m) })
+			return cmp.Or(err, holderErr)
+		},
 	}
 	for _, decode := range decoders {
 		if err != nil || len(rest) == 0 {
@@ -303,17 +314,17 @@
 	return err
 }
 
-// encodeMessage encodes a message without its extensions, and its loads.
-func encodeMessage(m Message) (body, packed []byte) {
+// encodeMessage encodes a message without its extensions, its loads and its holders.
+func encodeMessage(m Message) (body, loads, holders []byte) {
 	encode := func() bool {
-		packed = packLoads(m)
+		loads, holders = packLoads(m), packHolders(m.Holders)
 		without := m
 		without.LocalLoads, without.ReportedLoads, without.Holders = nil, nil, nil
 		body = wire.Encode(without)
-		return len(body)+len(packed) <= MaxDatagramBytes
+		return len(body)+len(loads)+len(holders) <= MaxDatagramBytes
 	}
 	if encode() {
-		return body, packed
+		return body, loads, holders
 	}
 	m.Changes, m.HasChanges = nil, false
 	for !encode() && len(m.Holders)+len(m.Observations)+len(m.LocalLoads)+len(m.ReportedLoads) > 0 {
@@ -322,7 +333,7 @@
 			m.LocalLoads, m.ReportedLoads, m.Observations = nil, nil, nil
 		}
 	}
-	return body, packed
+	return body, loads, holders
 }
 
 // Send sends an encoded heartbeat to an IP address with a port.
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -150,6 +150,9 @@
 			Running: []ServiceLoad{{Service: 1 << 31, Requests: 300}}, LocalLoads: map[engines.Key]int{1: 2, 1<<32 - 1: 3},
 			ReportedLoads: []Load{{Engine: 7, Requests: 12, Age: 600}}, Holders: []PartHolder{{Part: 1<<32 - 1, Engine: 9, Age: 1200}},
 		}},
+		{"holders in runs", Message{Holders: []PartHolder{
+			{Part: 1, Engine: 9, Age: 600}, {Part: 2, Engine: 9, Age: 600}, {Part: 3, Engine: 9, Age: 604}, {Part: 4, Engine: 8, Age: 604}, {Part: 1, Engine: 9, Age: 0},
+		}}},
 		{"no requests", Message{LocalLoads: map[engines.Key]int{}}},
 		{"loads left out", Message{Running: []ServiceLoad{{Service: 1, Requests: 0}}}},
 	}
--- a/connection/heartbeat/packedloads.go
+++ b/connection/heartbeat/packedloads.go
@@ -28,9 +28,9 @@
 	failed bool
 }
 
-// packLoads encodes Running, LocalLoads, ReportedLoads and Holders of a message, or returns nil if there are none.
+// packLoads encodes Running, LocalLoads and ReportedLoads of a message, or returns nil if there are none.
 func packLoads(m Message) []byte {
-	if m.LocalLoads == nil && len(m.Running)+len(m.ReportedLoads)+len(m.Holders) == 0 {
+	if m.LocalLoads == nil && len(m.Running)+len(m.ReportedLoads) == 0 {
 		return nil
 	}
 	packed := binary.AppendUvarint(nil, uint64(len(m.Running)))
@@ -50,14 +50,44 @@
 	for _, l := range m.ReportedLoads {
 		packed = appendAge(appendCount(binary.BigEndian.AppendUint32(packed, uint32(l.Engine)), l.Requests), l.Age)
 	}
-	packed = binary.AppendUvarint(packed, uint64(len(m.Holders)))
-	for _, h := range m.Holders {
-		packed = binary.BigEndian.AppendUint32(packed, uint32(h.Part))
-		packed = appendAge(binary.BigEndian.AppendUint32(packed, uint32(h.Engine)), h.Age)
+	// Earlier versions expect the holders here.
+	return append(packed, 0)
+}
+
+// packHolders encodes holders in runs of those with the same engine and age: a prompt's parts are read by one engine at one time. It returns nil if there
+// are none.
+func packHolders(list []PartHolder) []byte {
+	var packed []byte
+	for len(list) > 0 {
+		first := list[0]
+		run := 1
+		for run < len(list) && list[run].Engine == first.Engine && list[run].Age/packedAgeMillis == first.Age/packedAgeMillis {
+			run++
+		}
+		packed = appendCount(appendAge(binary.BigEndian.AppendUint32(packed, uint32(first.Engine)), first.Age), run)
+		for _, h := range list[:run] {
+			packed = binary.BigEndian.AppendUint32(packed, uint32(h.Part))
+		}
+		list = list[run:]
 	}
 	return packed
 }
 
+// unpackHolders is the reverse of packHolders, and adds the holders to the message. It fails on malformed input.
+func unpackHolders(packed []byte, m *Message) error {
+	r := &loadReader{packed: packed}
+	for len(r.packed) > 0 && !r.failed {
+		engine, age := engines.Key(r.key()), r.age()
+		for range r.length() {
+			m.Holders = append(m.Holders, PartHolder{Part: placing.PartID(r.key()), Engine: engine, Age: age})
+		}
+	}
+	if r.failed {
+		return errPackedLoads
+	}
+	return nil
+}
+
 // unpackLoads sets the fields that packLoads encodes. It fails on malformed input.
 func unpackLoads(packed []byte, m *Message) error {
 	r := &loadReader{packed: packed}
