--- a/cmd/operators_test.go
+++ b/cmd/operators_test.go
@@ -129,7 +129,7 @@
 		edit func(list string) string
 	}{
 		{"keys", func(list string) string { return keyHashes.ReplaceAllString(list, "keyHashes = []") }},
-		{"plans", func(list string) string { return list[:strings.Index(list, "[[plan]]")] }},
+		{"plans", func(list string) string { head, _, _ := strings.Cut(list, "[[plan]]"); return head }},
 		{"nothing", func(list string) string {
 			if !strings.Contains(list, "plan = []") {
 				t.Errorf("the empty list is printed as %q", list)
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -126,15 +126,13 @@
 		zap.Stringer("fingerprint", x.subjects.Request), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
 }
 
-// checkCrashed records a lost answer and reports whether the engine now refuses connections, which means that it has crashed. If nobody waits for the
-// answer any more, the engine may still crash on the request: whoever finds that tells all instances.
-func (x *exchange) checkCrashed(ctx context.Context, e engines.Engine) bool {
+// checkCrashed records a lost answer, and that its engine has crashed if the address refuses connections now. If nobody waits for the answer any more, the
+// engine may still crash on the request: whoever finds that tells all instances.
+func (x *exchange) checkCrashed(ctx context.Context, e engines.Engine) {
 	x.recordLost(e, time.Now())
-	if ctx.Err() != nil || !upstream.ConnectionRefused(ctx, e.Address) {
-		return false
+	if ctx.Err() == nil && upstream.ConnectionRefused(ctx, e.Address) {
+		x.markUnreachable(e, true, time.Now())
 	}
-	x.markUnreachable(e, true, time.Now())
-	return true
 }
 
 // recordLost records that the engine accepted the request and its answer was lost, unless it has been answering for longer than beginWindow, since an
--- a/request/suspects/trials_test.go
+++ b/request/suspects/trials_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
 const testTrialWait = 3 * time.Second
@@ -77,7 +75,7 @@
 	f.tryAll(5*time.Minute, []string{"guilty"}, func(i int) {
 		crashes++
 		f.engine++
-		f.instances[i].RecordCrash(ids([]string{"guilty"}), Crash{Engine: engines.Key(f.engine), At: f.now}, f.now)
+		f.instances[i].RecordCrash(ids([]string{"guilty"}), Crash{Engine: f.engine, At: f.now}, f.now)
 	})
 	const allowed = 2 + 3
 	if crashes == 0 || crashes > allowed {
