--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -260,17 +260,22 @@
 	}
 }
 
+// leaveAfter lets the caller of a request leave after a time.
+func leaveAfter(t testing.TB, patience time.Duration) func(*http.Request) {
+	return func(r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), patience)
+		t.Cleanup(cancel)
+		*r = *r.WithContext(ctx)
+	}
+}
+
 // TestNonIdempotentRequestRunsOnceAfterCallerDisconnects guards against a second run when the caller disconnects before the engine crashes.
 func TestNonIdempotentRequestRunsOnceAfterCallerDisconnects(t *testing.T) {
 	f := newFixture(t, routing.Route{Kind: routing.NonIdempotent}, func(int, http.ResponseWriter, *http.Request) {
 		time.Sleep(150 * time.Millisecond)
 		abortConnection()
 	})
-	_, _, err := f.send(t, func(r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
-		t.Cleanup(cancel)
-		*r = *r.WithContext(ctx)
-	})
+	_, _, err := f.send(t, leaveAfter(t, 50*time.Millisecond))
 	if err == nil {
 		t.Fatal("the caller did not disconnect")
 	}
@@ -287,11 +292,7 @@
 			time.Sleep(150 * time.Millisecond)
 			writeNotRun(w)
 		})
-		_, _, err := f.send(t, func(r *http.Request) {
-			ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
-			t.Cleanup(cancel)
-			*r = *r.WithContext(ctx)
-		})
+		_, _, err := f.send(t, leaveAfter(t, 50*time.Millisecond))
 		if err == nil {
 			t.Fatal("the caller did not disconnect")
 		}
@@ -308,11 +309,7 @@
 		<-r.Context().Done()
 		close(ended)
 	})
-	_, _, _ = f.send(t, func(r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
-		t.Cleanup(cancel)
-		*r = *r.WithContext(ctx)
-	})
+	_, _, _ = f.send(t, leaveAfter(t, 50*time.Millisecond))
 	select {
 	case <-ended:
 	case <-time.After(2 * time.Second):
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -217,6 +217,11 @@
 		Holders      []PartHolder
 	}
 
+	// gapExtension follows a FetchReply.
+	gapExtension struct {
+		Gaps []mirror.Gap
+	}
+
 	// Conn sends and receives heartbeats, and serves fetches.
 	Conn struct {
 		udp *net.UDPConn
@@ -386,7 +391,24 @@
 	if err != nil {
 		return FetchReply{}, errors.Wrap(err, "decompress fetched reply")
 	}
-	return wire.Decode[FetchReply](body)
+	return decodeReply(body)
+}
+
+// encodeReply encodes a reply, and the gaps of its delta in an extension that earlier versions ignore.
+func encodeReply(r FetchReply) []byte {
+	body := wire.Encode(r)
+	if len(r.Delta.Gaps) == 0 {
+		return body
+	}
+	return append(body, wire.Encode(gapExtension{Gaps: r.Delta.Gaps})...)
+}
+
+func decodeReply(body []byte) (FetchReply, error) {
+	r, rest, err := wire.DecodeFirst[FetchReply](body)
+	if err != nil || len(rest) == 0 {
+		return r, err
+	}
+	return r, decodeExtension(&rest, func(e gapExtension) { r.Delta.Gaps = e.Gaps })
 }
 
 // compress compresses a reply. Configurations shrink to a tenth, which matters on the slowest links.
@@ -460,7 +482,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := compress(wire.Encode(serve(request)))
+	body, err := compress(encodeReply(serve(request)))
 	if err != nil {
 		return err
 	}
--- a/connection/heartbeat/heartbeat_test.go
+++ b/connection/heartbeat/heartbeat_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/vanillaroute/vanillaroute/boottime"
+	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -140,6 +141,33 @@
 	}
 }
 
+// TestGapsOfADeltaAreAnExtension guards against replies that instances of an earlier version reject, or send, during an upgrade.
+func TestGapsOfADeltaAreAnExtension(t *testing.T) {
+	type earlierDelta struct {
+		Full     bool
+		Entries  []mirror.Entry
+		Revision ident.Revision
+	}
+	type earlierReply struct {
+		Delta        earlierDelta
+		ConfirmedAge time.Duration
+		Holders      []PartHolder
+	}
+	entries := []mirror.Entry{{Key: "a", Revision: 7, Deleted: true}}
+	reply := FetchReply{Delta: mirror.Delta{Entries: entries, Revision: 9, Gaps: []mirror.Gap{{After: 2, Until: 9}}}, ConfirmedAge: time.Second}
+	body := encodeReply(reply)
+	if got, err := decodeReply(body); err != nil || !reflect.DeepEqual(got, reply) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if got, err := wire.Decode[earlierReply](body); err != nil || got.Delta.Revision != 9 || !reflect.DeepEqual(got.Delta.Entries, entries) {
+		t.Errorf("an earlier version gets %+v, %v", got, err)
+	}
+	earlier := wire.Encode(earlierReply{Delta: earlierDelta{Entries: entries, Revision: 9}, ConfirmedAge: time.Second})
+	if got, err := decodeReply(earlier); err != nil || got.Delta.Revision != 9 || got.ConfirmedAge != time.Second {
+		t.Errorf("from an earlier version: got %+v, %v", got, err)
+	}
+}
+
 // TestPackedLoadsArrive checks the fields of the extension of loads, the difference between no loads and none sent, and those that earlier versions send.
 func TestPackedLoadsArrive(t *testing.T) {
 	tests := []struct {
--- a/version/mirror/mirror.go
+++ b/version/mirror/mirror.go
@@ -26,8 +26,8 @@
 		Full     bool
 		Entries  []Entry
 		Revision ident.Revision
-		// Gaps are the gaps of the sender that the receiver inherits.
-		Gaps []Gap
+		// Gaps are the gaps of the sender that the receiver inherits. They are not part of an encoded delta, whose fields earlier versions count.
+		Gaps []Gap `msgpack:"-"`
 	}
 
 	// Gap is a span of revisions whose changes came as a full delta. That lacks the deletion of an entry that was put within the span, so that
