fix(suspects): a trial is decided and counted under one lock

Two requests at the same moment could both have been tried. Found by reading; TestTrialsDoNotOverlap guards the order, but did not fail in one run without the lock.

--- a/request/suspects/trials.go
+++ b/request/suspects/trials.go
@@ -30,6 +30,9 @@
 // TakeTrial reports whether a request that is refused for its subjects is tried in spite of that. isTester reports whether this instance is the one of the
 // fleet that tries requests for a culprit. An answer then clears the culprit everywhere, and a crash makes the wait for the next trial longer.
 func (c *Crashes) TakeTrial(s Subjects, isTester func(Culprit) bool, now time.Time) bool {
+	// Only one of several requests at the same time may be tried.
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	request := []ID{s.Request}
 	if !c.Parts.mayTry(s.Parts, isTester, now) || !c.Requests.mayTry(request, isTester, now) {
 		return false
--- a/request/suspects/trials_test.go
+++ b/request/suspects/trials_test.go
@@ -1,6 +1,8 @@
 package suspects
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -83,6 +85,28 @@
 	}
 }
 
+// TestTrialsDoNotOverlap guards against several requests that are tried at the same moment.
+func TestTrialsDoNotOverlap(t *testing.T) {
+	const requests = 8
+	c, s, now := NewCrashes(), Subjects{Request: 1}, time.Unix(1000, 0)
+	c.Requests.SetStored(Culprit{s.Request}, now)
+	// The requests wait for each other's decision.
+	isTester := func(Culprit) bool { time.Sleep(2 * time.Millisecond); return true }
+	var tried atomic.Int32
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			if c.TakeTrial(s, isTester, now.Add(testTrialWait)) {
+				tried.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if n := tried.Load(); n != 1 {
+		t.Errorf("%d requests are tried at once", n)
+	}
+}
+
 // TestTrialIsReturned guards against two trials at a time, and against a longer wait after a trial that reached no engine.
 func TestTrialIsReturned(t *testing.T) {
 	tests := []struct {
