--- a/review/_standins2/engine.go
+++ b/review/_standins2/engine.go
@@ -38,9 +38,6 @@
 	extra                      []string
 	// onReport is called for each report of the process, and may be nil.
 	onReport func(report)
-	// proxy stands between the address and the process, which then listens at another one, or is nil.
-	proxy   *proxy
-	backend string
 }
 
 // report is what an engine's process writes of a request.
@@ -59,11 +56,7 @@
 
 // start starts the engine's process and registers it. A later start is a new incarnation under the same id.
 func (e *engineProcess) start() error {
-	listen := e.address
-	if e.proxy != nil {
-		listen = e.backend
-	}
-	args := append([]string{"engine", listen, e.id, strconv.Itoa(e.slots)}, e.extra...)
+	args := append([]string{"engine", e.address, e.id, strconv.Itoa(e.slots)}, e.extra...)
 	cmd := exec.Command(os.Args[0], args...)
 	cmd.Stderr = os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -107,17 +100,6 @@
 	return nil
 }
 
-// useProxy puts a proxy between the engine's address and its process.
-func (e *engineProcess) useProxy() error {
-	ip, _, err := net.SplitHostPort(e.address)
-	if err != nil {
-		return err
-	}
-	e.backend = net.JoinHostPort(ip, "8121")
-	e.proxy, err = newProxy(e.address, e.backend)
-	return err
-}
-
 // beat removes the entry of a process that has ended after three heartbeats of silence. While the process lives, heartbeats change nothing in the store,
 // as only the sequence would change.
 func (e *engineProcess) beat(cmd *exec.Cmd) {
@@ -173,9 +155,6 @@
 }
 
 func (e *engineProcess) end() {
-	if e.proxy != nil {
-		_ = e.proxy.listener.Close()
-	}
 	e.mu.Lock()
 	e.state = "gone"
 	e.mu.Unlock()
