review: case 6, a slow engine's streams go on elsewhere while it works on them

Cause: an engine that makes no event for 2.5 times the route's target gap is given up, and closing its connection counts as the end of its work.

--- a/review/_standins2/engine.go
+++ b/review/_standins2/engine.go
@@ -10,9 +10,11 @@
 	"net/url"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -51,6 +53,7 @@
 
 const (
 	heartbeatInterval = 1200 * time.Millisecond
+	slowFactor        = 5
 	maxSilence        = 3
 )
 
@@ -171,6 +174,13 @@
 	}
 	fmt.Println("ready")
 	g := &engineServer{id: id, slots: make(chan struct{}, slots), out: json.NewEncoder(os.Stdout), flags: extra}
+	speed := make(chan os.Signal, 1)
+	signal.Notify(speed, syscall.SIGUSR1, syscall.SIGUSR2)
+	go func() {
+		for s := range speed {
+			g.slow.Store(s == syscall.SIGUSR1)
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -186,6 +196,8 @@
 	mu    sync.Mutex
 	out   *json.Encoder
 	flags []string
+	// slow says that work takes slowFactor times as long. SIGUSR1 sets it, and SIGUSR2 ends it.
+	slow atomic.Bool
 }
 
 func (g *engineServer) report(r *http.Request, what string, events int) {
@@ -287,18 +299,21 @@
 	} else {
 		head += "Transfer-Encoding: chunked\r\n\r\n"
 	}
-	// An engine drops a request when its connection closes.
-	gone := make(chan struct{})
+	// Most engines drop a request when its connection closes; the others work on.
+	gone, keeps := make(chan struct{}), g.has("keeps")
 	go func() {
 		_ = c.SetReadDeadline(time.Time{})
 		var one [1]byte
 		if _, err := c.Read(one[:]); err != nil {
-			if e, ok := err.(net.Error); !ok || !e.Timeout() {
+			if e, ok := err.(net.Error); !keeps && (!ok || !e.Timeout()) {
 				close(gone)
 			}
 		}
 	}()
 	wait := func(d time.Duration) bool {
+		if g.slow.Load() {
+			d *= slowFactor
+		}
 		select {
 		case <-gone:
 			return false
@@ -318,7 +333,7 @@
 		if !unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
-		if _, err := io.WriteString(c, head+event); err != nil {
+		if _, err := io.WriteString(c, head+event); err != nil && !keeps {
 			g.report(r, "drops", i)
 			return false
 		}
