forward: a panic leaves no load at the engine

Callers saw nothing, but the engine counted as loaded by one request more for good, on this instance and in its heartbeats, so it got fewer chats.

Cause: the load of an attempt and its memory were ended after attempt returned, which a panic in the relay skips. An answer with the status 000 made net/http panic there.

Evidence: TestPanicLeavesNoLoad failed before, for a buffered answer and for a stream: "left with a load of 1".

The attempt now ends both with defer. Both may be ended more than once, as a stream that is read ahead already does.

--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -181,8 +181,6 @@
 		}
 		x.recordPlacement(choice, now)
 		result := x.attempt(ctx, choice, inFlight, now)
-		inFlight.End()
-		x.release()
 		x.countCompleted(result)
 		if result == resultAnswered {
 			return
@@ -227,8 +225,10 @@
 	return false
 }
 
-// attempt sends the request to one engine and relays the answer.
+// attempt sends the request to one engine and relays the answer. It ends what the request holds of the engine, also if it panics.
 func (x *exchange) attempt(ctx context.Context, choice placing.Choice, inFlight *placing.Placement, now time.Time) result {
+	defer x.release()
+	defer inFlight.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := choice.Engine
--- a/connection/forward/panic_test.go
+++ b/connection/forward/panic_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/routing"
@@ -54,3 +55,24 @@
 		t.Errorf("counted %s", f.handler.Metrics.String())
 	}
 }
+
+// panickingWriter panics when an answer begins.
+type panickingWriter struct{ http.ResponseWriter }
+
+func (panickingWriter) WriteHeader(int) { panic("no answer") }
+
+// TestPanicLeavesNoLoad guards against an engine that counts as loaded for good after the relay of its answer has panicked.
+func TestPanicLeavesNoLoad(t *testing.T) {
+	for _, kind := range []routing.Kind{routing.Idempotent, routing.Stream} {
+		f := newSlowFixture(t, routing.Route{Kind: kind}, func(_ int, w http.ResponseWriter, _ *http.Request) { writeSealed(w, events(1, 2)) })
+		f.front.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.handler.ServeHTTP(panickingWriter{w}, r) })
+		if _, _, err := f.send(t, longDeadline); err == nil {
+			t.Error("a request whose relay panics is answered")
+		}
+		for engine, load := range f.handler.Table.LocalLoads(time.Now()) {
+			if load != 0 {
+				t.Errorf("kind %d: engine %v is left with a load of %d", kind, engine, load)
+			}
+		}
+	}
+}
