response, upstream: an answer whose status is outside the grammar is lost

What callers saw: an engine's status of 600 to 999 was their answer, with the engine's body. A status of 000 to 099 closed their connection in the middle of a panic, left a load at the engine, and with the header that says "not run" had a request that may have run sent to another engine.

Cause: http.ReadResponse takes any three characters that strconv.Atoi accepts as a status, any version, and 101 to a request that did not ask for another protocol, and nothing checked them afterwards.

The new package response states what an answer is. It checks the bytes of each head as they arrive, so skipped and interim answers and questions for health are checked as well. A malformed answer is a lost one: another engine gets the request if it may run again, and the caller gets a 502 otherwise. What RFC 9112 lets recipients accept stays accepted.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/response"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"golang.org/x/sys/unix"
 )
@@ -44,7 +45,7 @@
 
 // conn is a connection to an engine that carries one request at a time.
 type conn struct {
-	net.Conn
+	*response.Conn
 	reader *bufio.Reader
 	// bound limits the bytes that reader takes from the connection.
 	bound *sizelimit.Reader
@@ -82,8 +83,9 @@
 	if err != nil {
 		return nil, err
 	}
-	bound := &sizelimit.Reader{Reader: c}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound, maxIdle: defaultMaxIdle}, nil
+	checked := response.NewConn(c)
+	bound := &sizelimit.Reader{Reader: checked}
+	return &conn{Conn: checked, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound, maxIdle: defaultMaxIdle}, nil
 }
 
 // Close closes the connection. Further calls do nothing and return nil.
@@ -116,11 +118,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -157,7 +155,7 @@
 	}
 	for range maxSkippedAnswers {
 		c.bound.Allow(sizelimit.MaxHeadBytes)
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := c.ReadResponse(c.reader, r.Method)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read answer")
 		}
--- /dev/null
+++ b/response/conn.go
@@ -0,0 +1,91 @@
+package response
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+type (
+	// Conn is a connection to an HTTP/1.1 server. Reading fails with *MalformedError at a malformed head of a response that is expected.
+	Conn struct {
+		net.Conn
+
+		// readMu guards head and err.
+		readMu sync.Mutex
+		// head checks the head of the expected response, or is nil if none is expected.
+		head *head
+		// err is the error at which checking ended.
+		err error
+	}
+)
+
+// NewConn returns a Conn that expects no response yet.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// ReadResponse reads the head of the next response to a request with that method. r buffers what is read from the connection.
+func (c *Conn) ReadResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	buffered, err := r.Peek(r.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.expect(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(r, &http.Request{Method: method})
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if checkErr := c.check(p[:n]); checkErr != nil {
+		return 0, checkErr
+	}
+	return n, err
+}
+
+// SyscallConn returns the raw connection. It fails if there is none.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no descriptor")
+	}
+	return sys.SyscallConn()
+}
+
+// expect checks the head of the next response. buffered are the bytes that were read after the response before it.
+func (c *Conn) expect(buffered []byte) error {
+	c.readMu.Lock()
+	c.head, c.err = &head{}, nil
+	c.readMu.Unlock()
+	return c.check(buffered)
+}
+
+// isExpecting reports whether the head of the expected response has not been read.
+func (c *Conn) isExpecting() bool {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	return c.head != nil
+}
+
+// check checks bytes that arrived until the head of a response is complete that is not interim.
+func (c *Conn) check(data []byte) error {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	for c.err == nil && c.head != nil && len(data) > 0 {
+		n, complete, err := c.head.read(data)
+		data, c.err = data[n:], err
+		switch {
+		case !complete:
+		case c.head.isInterim():
+			c.head = &head{}
+		default:
+			c.head = nil
+		}
+	}
+	return c.err
+}
