response: a reset during the request is no end of the answer

What callers saw: the beginning of an answer as the whole one. The engine had answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one call only. If the write of the request takes it, the read of the answer returns io.EOF, which ends an answer without a length. The result of the write was not looked at then.

At an io.EOF a connection now asks how its write ended. A reset before the engine closed its side makes the write fail with ECONNRESET, or ETIMEDOUT if packets stay unacknowledged; if the engine had closed its side first, the write gets EPIPE and the answer is whole. While the write goes on, the state of the connection tells: if the engine has closed its side, the answer is whole and the write may go on for long; otherwise the connection has ended and the write fails at once.

In TestEndOfAConnectionDuringAWrite a write returns only after the read has ended; early answers whose engine closes its side, and resets later or not, stay whole.

--- a/response/conn.go
+++ b/response/conn.go
@@ -9,10 +9,12 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 type (
-	// Conn is a connection to an HTTP/1.1 server. Reading fails with *MalformedError at a malformed head of a response that is expected.
+	// Conn is a connection to an HTTP/1.1 server. Reading fails with *MalformedError at a malformed head of a response that is expected, and with the error
+	// of the connection if it broke off where a read would return io.EOF.
 	Conn struct {
 		net.Conn
 
@@ -22,6 +24,11 @@
 		head *head
 		// err is the error at which checking ended.
 		err error
+
+		// writeMu is held during a write, and guards writeErr.
+		writeMu sync.Mutex
+		// writeErr is the error of the first write that failed.
+		writeErr error
 	}
 
 	// body is the body of a response. Reading fails at its end if the trailer is malformed.
@@ -59,6 +66,22 @@
 	if checkErr := c.check(p[:n]); checkErr != nil {
 		return 0, checkErr
 	}
+	if errors.Is(err, io.EOF) {
+		if broken := c.breakOff(); broken != nil {
+			return n, errors.Wrap(broken, "the connection broke off during the request")
+		}
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
@@ -104,6 +127,36 @@
 	return c.err
 }
 
+// breakOff returns the error of a connection that broke off, at an io.EOF. The kernel reports a reset to one call only: if a write takes it, the reads after it
+// return io.EOF as if the server had closed the connection. A write gets EPIPE if the server had done so before.
+func (c *Conn) breakOff() error {
+	if !c.writeMu.TryLock() {
+		if c.isClosedByServer() {
+			return nil
+		}
+		// The write ends as well.
+		c.writeMu.Lock()
+	}
+	defer c.writeMu.Unlock()
+	var errno syscall.Errno
+	if errors.As(c.writeErr, &errno) && errno != unix.EPIPE {
+		return c.writeErr
+	}
+	return nil
+}
+
+// isClosedByServer reports whether the server has closed its side of a connection that has not ended.
+func (c *Conn) isClosedByServer() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return err == nil && infoErr == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+}
+
 // guardBody lets reading the body fail if its trailer is malformed.
 func (c *Conn) guardBody(resp *http.Response) {
 	if len(resp.TransferEncoding) > 0 {
--- /dev/null
+++ b/response/conn_test.go
@@ -0,0 +1,93 @@
+package response
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// heldConn is a connection whose failed write returns only after a read has returned io.EOF.
+type heldConn struct {
+	*net.TCPConn
+	failed, ended chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		close(c.failed)
+		<-c.ended
+	}
+	return n, err
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, io.EOF) {
+		close(c.ended)
+	}
+	return n, err
+}
+
+// TestEndOfAConnectionDuringAWrite guards against a reset that a write takes from the kernel before a read, and against an early answer whose server has
+// closed its side and is taken for reset.
+func TestEndOfAConnectionDuringAWrite(t *testing.T) {
+	closeWrite := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	reset := func(c *net.TCPConn) {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	tests := []struct {
+		name string
+		// ends are the steps in which the server ends the connection while it reads nothing.
+		ends []func(*net.TCPConn)
+		// fails says that they let the write fail.
+		fails bool
+		want  error
+	}{
+		{"reset", []func(*net.TCPConn){reset}, true, unix.ECONNRESET},
+		{"closed by the server, which may read later", []func(*net.TCPConn){closeWrite}, false, nil},
+		{"closed by the server, then reset", []func(*net.TCPConn){closeWrite, reset}, true, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			dialed, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = accepted.Close() }()
+			held := &heldConn{TCPConn: dialed.(*net.TCPConn), failed: make(chan struct{}), ended: make(chan struct{})} //nolint:forcetypeassert // A panic fails the test.
+			_ = held.SetDeadline(time.Now().Add(10 * time.Second))
+			c := NewConn(held)
+			defer func() { _ = c.Close() }()
+			go func() { _, _ = c.Write(make([]byte, 64<<20)) }()
+			if _, err := io.ReadFull(accepted, make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(accepted, "part")
+			for _, end := range tt.ends {
+				end(accepted.(*net.TCPConn)) //nolint:forcetypeassert // A panic fails the test.
+			}
+			if tt.fails {
+				<-held.failed
+			}
+			data, err := io.ReadAll(c)
+			if string(data) != "part" || !errors.Is(err, tt.want) {
+				t.Errorf("got %q, %v, want %v", data, err, tt.want)
+			}
+		})
+	}
+}
