response: all other clients read answers by the same rule

What callers saw: on the way through serve the same as through entry. A booking was answered with the status 700 or with a body that was not the desk's, a chat was empty, and connections closed in the middle of a panic after the status 000. Load reports, orders, replies of the stores, lists of cached parts and of instances were used as well.

Cause: these clients use net/http, which checks as little as http.ReadResponse does and looks at the result of a write too late.

response.Transport wraps the connections of an http.Transport and expects a head when one is handed to a request, before the first byte is written. A response whose head was not checked, because it came before the request, is rejected. The clients of engines, services, both stores, cached parts and the list of instances, the caller library and the operators' commands use it.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/pause"
+	"github.com/vanillaroute/vanillaroute/response"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
@@ -78,7 +79,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "create cache"))
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerRouter, DisableCompression: true}
+	transport := response.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerRouter, DisableCompression: true})
 	return &Client{key: key, seeds: seeds, http: &http.Client{Transport: transport}, addressCache: cache}
 }
 
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"github.com/vanillaroute/vanillaroute/response"
 )
 
 const (
@@ -19,6 +20,8 @@
 	operatorKeyEnv = "VANILLAROUTE_OPERATOR_KEY"
 )
 
+var operatorHTTP = &http.Client{Transport: response.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // operatorClient calls a router's HTTP API with the operators' key.
 type operatorClient struct {
 	router string
@@ -43,7 +46,7 @@
 		return 0, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := operatorHTTP.Do(req)
 	if err != nil {
 		return 0, errors.Wrap(err, "call router")
 	}
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/response"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 )
 
@@ -93,14 +94,14 @@
 func (e *DialError) Unwrap() error { return e.Cause }
 
 // NewTransport returns an HTTP transport to be shared by the clients of all engines. It dials with Dial.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport() *response.Transport {
+	return response.NewTransport(&http.Transport{
 		DialContext:            Dial,
 		MaxIdleConnsPerHost:    maxIdlePerEngine,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: sizelimit.MaxHeadBytes,
-	}
+	})
 }
 
 // New returns a Client of the engine at address, an IP address with a port.
--- a/connection/gateway/client.go
+++ b/connection/gateway/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/engine"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/response"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/store"
 )
@@ -32,7 +33,9 @@
 
 // New returns a Client of the store at address, an IP address with a port.
 func New(address string) *Client {
-	transport := &http.Transport{DialContext: engine.Dial, MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: sizelimit.MaxHeadBytes}
+	transport := response.NewTransport(&http.Transport{
+		DialContext: engine.Dial, MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: sizelimit.MaxHeadBytes,
+	})
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
 
--- a/connection/instances/instances.go
+++ b/connection/instances/instances.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vanillaroute/vanillaroute/response"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
 )
 
 const (
 	timeout      = 2 * time.Second
+	idleTimeout  = 90 * time.Second
 	maxListBytes = 32 << 20
 )
 
@@ -26,7 +28,7 @@
 
 // New returns a Client of the list at address, an IP address with a port.
 func New(address string) *Client {
-	return &Client{url: "http://" + address + "/instances", http: &http.Client{Timeout: timeout}}
+	return &Client{url: "http://" + address + "/instances", http: &http.Client{Timeout: timeout, Transport: response.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: idleTimeout})}}
 }
 
 // List returns the instances, or an error if the list can't be read or decoded. It is not safe for concurrent use.
--- a/response/conn_test.go
+++ b/response/conn_test.go
@@ -1,8 +1,11 @@
 package response
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,10 +13,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// heldConn is a connection whose failed write returns only after a read has returned io.EOF.
+// heldConn is a connection whose failed write returns only after a read has returned io.EOF. With late set, reads after the first wait for the write to fail.
 type heldConn struct {
 	*net.TCPConn
 	failed, ended chan struct{}
+	late          bool
+	reads         int
 }
 
 func (c *heldConn) Write(p []byte) (int, error) {
@@ -26,6 +31,9 @@
 }
 
 func (c *heldConn) Read(p []byte) (int, error) {
+	if c.reads++; c.late && c.reads > 1 {
+		<-c.failed
+	}
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, io.EOF) {
 		close(c.ended)
@@ -91,3 +99,40 @@
 		})
 	}
 }
+
+// TestTransportTellsResetFromEnd guards against the same through net/http, which looks at the result of a write too late.
+func TestTransportTellsResetFromEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	answered := make(chan struct{})
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		<-answered
+		_ = c.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // A panic fails the test.
+		_ = c.Close()
+	}()
+	transport := NewTransport(&http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &heldConn{TCPConn: c.(*net.TCPConn), failed: make(chan struct{}), ended: make(chan struct{}), late: true}, nil //nolint:forcetypeassert // A panic fails the test.
+	}})
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Post("http://"+listener.Addr().String(), "", bytes.NewReader(make([]byte, 64<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	close(answered)
+	if data, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("%q counts as the whole answer", data)
+	}
+}
