--- a/response/conn_test.go
+++ b/response/conn_test.go
@@ -41,14 +41,38 @@
 	return n, err
 }
 
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func dialHeld(address string) (*heldConn, error) {
+	to, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := net.DialTCP("tcp", nil, to)
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: c, failed: make(chan struct{}), ended: make(chan struct{})}, nil
+}
+
+// reset closes a connection so that the peer gets a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
 // TestEndOfAConnectionDuringAWrite guards against a reset that a write takes from the kernel before a read, and against an early answer whose server has
 // closed its side and is taken for reset.
 func TestEndOfAConnectionDuringAWrite(t *testing.T) {
 	closeWrite := func(c *net.TCPConn) { _ = c.CloseWrite() }
-	reset := func(c *net.TCPConn) {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-	}
 	tests := []struct {
 		name string
 		// ends are the steps in which the server ends the connection while it reads nothing.
@@ -63,21 +87,16 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = listener.Close() }()
-			dialed, err := net.Dial("tcp", listener.Addr().String())
+			listener := listen(t)
+			held, err := dialHeld(listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
-			accepted, err := listener.Accept()
+			accepted, err := listener.AcceptTCP()
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer func() { _ = accepted.Close() }()
-			held := &heldConn{TCPConn: dialed.(*net.TCPConn), failed: make(chan struct{}), ended: make(chan struct{})} //nolint:forcetypeassert // A panic fails the test.
 			_ = held.SetDeadline(time.Now().Add(10 * time.Second))
 			c := NewConn(held)
 			defer func() { _ = c.Close() }()
@@ -87,7 +106,7 @@
 			}
 			_, _ = io.WriteString(accepted, "part")
 			for _, end := range tt.ends {
-				end(accepted.(*net.TCPConn)) //nolint:forcetypeassert // A panic fails the test.
+				end(accepted)
 			}
 			if tt.fails {
 				<-held.failed
@@ -102,28 +121,26 @@
 
 // TestTransportTellsResetFromEnd guards against the same through net/http, which looks at the result of a write too late.
 func TestTransportTellsResetFromEnd(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
+	listener := listen(t)
 	answered := make(chan struct{})
 	go func() {
-		c, err := listener.Accept()
+		c, err := listener.AcceptTCP()
 		if err != nil {
 			return
 		}
+		// The rest of the request stays unread.
+		_, _ = c.Read(make([]byte, 1))
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
 		<-answered
-		_ = c.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // A panic fails the test.
-		_ = c.Close()
+		reset(c)
 	}()
-	transport := NewTransport(&http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	transport := NewTransport(&http.Transport{DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+		c, err := dialHeld(address)
 		if err != nil {
 			return nil, err
 		}
-		return &heldConn{TCPConn: c.(*net.TCPConn), failed: make(chan struct{}), ended: make(chan struct{}), late: true}, nil //nolint:forcetypeassert // A panic fails the test.
+		c.late = true
+		return c, nil
 	}})
 	defer transport.CloseIdleConnections()
 	resp, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Post("http://"+listener.Addr().String(), "", bytes.NewReader(make([]byte, 64<<20)))
--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -1,4 +1,3 @@
-// Package rawhttp is an HTTP/1.1 server that answers with given bytes, which need not be a response.
 package rawhttp
 
 import (
