--- a/connection/upstream/life_test.go
+++ b/connection/upstream/life_test.go
@@ -41,3 +41,13 @@
 		t.Errorf("got %v, want %d times ResetByPeer", shown, questions)
 	}
 }
+
+// TestMalformedAnswerIsNoSignOfLife guards against a malformed answer that counts as an engine's.
+func TestMalformedAnswerIsNoSignOfLife(t *testing.T) {
+	for head, want := range map[string]Life{"HTTP/1.1 503 No\r\n": Alive, "HTTP/1.1 000 Zero\r\n": Silent, "HTTP/1.1 200 OK\r\nX Other: x\r\n": Silent} {
+		address, _ := startEngine(t, func(int, int, string) string { return head + "Content-Length: 0\r\n\r\n" })
+		if got := askHealth(t.Context(), address, "/health", 5*time.Second, func(http.Header) bool { return true }); got != want {
+			t.Errorf("%q: got %d, want %d", head, got, want)
+		}
+	}
+}
