response: a connection with a response to no request is closed

Closing the body of a response without one leaves the connection in the pool of net/http, where the next request would get it. Found by reading; the response that reaches this place must arrive between two steps of net/http, and no test makes it do so.

--- a/response/transport.go
+++ b/response/transport.go
@@ -41,6 +41,7 @@
 	}
 	if conn.isExpecting() {
 		// The response began before the request was sent.
+		_ = conn.Close()
 		_ = resp.Body.Close()
 		return nil, &MalformedError{"it belongs to no request"}
 	}
