response: a field line without a colon is malformed

Callers saw nothing, as net/http rejects such a head, but the rule for what an answer is left this case to it. TestHeadIsCheckedInAnyPieces failed for a line without a colon before and passes now.

--- a/response/head.go
+++ b/response/head.go
@@ -94,7 +94,10 @@
 
 // readField reads a field line. A line that begins with a blank is rejected: it may be a folded value, or a field whose name begins with a blank.
 func (h *head) readField(line string) error {
-	name, value, _ := strings.Cut(line, ":")
+	name, value, ok := strings.Cut(line, ":")
+	if !ok {
+		return &MalformedError{"a field line has no colon"}
+	}
 	if err := checkField(name, value); err != nil {
 		return err
 	}
