forward: an engine is given up for its silence only if another can go on

The timer between events abandoned the attempt when the counts of attempts and the retry budget allowed another one. It did not ask whether another engine could take the request: engines that said for how long they are full, left, were evacuated, are cold, at their limit or in back-off take nothing. The timer for the first event used the number of engines at the time of the choice.

Engines in back-off do not count. A request that engines crash on, or that is on trial, is not moved, since no engine would get it, nor is a stream whose last event has no id. If the engines that were to take over refuse, the request returns to the engine that was given up. Choice.Alternatives has no reader left; its test checks HasAlternative at each attempt instead.

--- a/connection/forward/abandon.go
+++ b/connection/forward/abandon.go
@@ -5,10 +5,12 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/vanillaroute/vanillaroute/ident"
 )
 
-// abandonTimer cancels an attempt whose engine is late, once the retry budget allows another one. Without budget the attempt goes on, because a slow
-// engine may still answer. It runs only while the attempt waits for the engine.
+// abandonTimer cancels an attempt whose engine is late, once another engine can take the request and the retry budget allows it. Until then the attempt goes
+// on, because a slow engine may still answer. It runs only while the attempt waits for the engine.
 type abandonTimer struct {
 	mu    sync.Mutex
 	timer *time.Timer
@@ -18,14 +20,14 @@
 	abandon func(now time.Time) bool
 }
 
-// newAbandonTimer returns a timer that does not run yet.
-func (x *exchange) newAbandonTimer(ctx context.Context, cancel context.CancelFunc) *abandonTimer {
+// newAbandonTimer returns a timer for an attempt at an engine that does not run yet.
+func (x *exchange) newAbandonTimer(ctx context.Context, cancel context.CancelFunc, e ident.Engine) *abandonTimer {
 	instances := x.snapshot.Instances
 	t := &abandonTimer{abandon: func(now time.Time) bool {
 		if ctx.Err() != nil {
 			return true
 		}
-		if !x.Budget.TakeEarly(x.service, instances, now) {
+		if !x.hasAlternative(e, now) || !x.Budget.TakeEarly(x.service, instances, now) {
 			return false
 		}
 		x.retryReserved.Store(true)
--- a/connection/forward/connections.go
+++ b/connection/forward/connections.go
@@ -1,27 +1,36 @@
 package forward
 
-import "github.com/vanillaroute/vanillaroute/connection/upstream"
+import (
+	"github.com/vanillaroute/vanillaroute/connection/upstream"
+	"github.com/vanillaroute/vanillaroute/ident"
+)
 
 // findUsedUp records the engines to which all connections of this instance are in use. They are left out of the choice: an attempt at each of them would take
 // a line of the log, and a token of a cold engine.
 func (x *exchange) findUsedUp() {
-	x.usedUp = nil
-	bound := x.snapshot.MaxConns(x.service)
+	x.usedUp = x.usedUpIn(x.snapshot)
+	if len(x.usedUp) > 0 {
+		x.Metrics.Add("engineConnectionsUsedUp", 1)
+	}
+}
+
+// usedUpIn returns the engines of a snapshot to which all connections of this instance are in use.
+func (x *exchange) usedUpIn(s Snapshot) []ident.Engine {
+	bound := s.MaxConns(x.service)
 	if bound == 0 {
-		return
+		return nil
 	}
 	full := x.Client.FullAt(bound)
 	if len(full) == 0 {
-		return
+		return nil
 	}
-	for _, e := range x.snapshot.Engines.OfService(x.service) {
+	var list []ident.Engine
+	for _, e := range s.Engines.OfService(x.service) {
 		if full[e.Address] {
-			x.usedUp = append(x.usedUp, e.ID)
+			list = append(list, e.ID)
 		}
 	}
-	if len(x.usedUp) > 0 {
-		x.Metrics.Add("engineConnectionsUsedUp", 1)
-	}
+	return list
 }
 
 // handleUsedUp records that the last connection to the chosen engine was taken after the choice. The engine has not failed.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -80,6 +80,9 @@
 		arrived  time.Time
 		deadline time.Time
 		tried    []ident.Engine
+		// silent are the engines that were given up for their silence, and returns counts how often the request went back to them.
+		silent  map[ident.Engine]bool
+		returns int
 		// snapshot is the snapshot on which the current attempt is based.
 		snapshot Snapshot
 		// crashesEngines says that the request is refused because engines crash on it or on a part of its prompt.
@@ -148,13 +151,16 @@
 	for {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
+		if x.sends >= maxSends {
+			x.returnToSilent()
+		}
 		if ctx.Err() != nil || x.r.Context().Err() != nil || !x.mayContinue(now) {
 			break
 		}
 		if x.isRefusedAsCulprit(now) {
 			break
 		}
-		request := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: x.snapshot.Instances, Tried: x.tried, Evacuated: x.snapshot.Evacuated}
+		request := x.placingRequest(x.snapshot)
 		if x.isRefusedAsEvacuated(request, now) {
 			break
 		}
@@ -162,10 +168,13 @@
 		if x.sends > 0 && x.Table.HasUntried(x.snapshot.Engines, request.WithTried(x.usedUp), now) && !x.takeRetry(now) {
 			break
 		}
-		if len(x.tried) == 0 && !x.admitted(request, now) {
+		if len(x.tried) == 0 && x.sends == 0 && !x.admitted(request, now) {
 			break
 		}
 		choice, inFlight, ok := x.choose(request, now)
+		if !ok && x.returnToSilent() {
+			continue
+		}
 		if !ok {
 			x.verdict, x.leftOut = "no engine is left", x.Table.CountLeftOut(x.snapshot.Engines, request, now)
 			x.explainUsedUp()
@@ -187,6 +196,9 @@
 		}
 		x.logFailed(choice, result)
 		x.tried = append(x.tried, choice.Engine.ID)
+		if x.retryReserved.Load() {
+			x.silent = map[ident.Engine]bool{choice.Engine.ID: true}
+		}
 	}
 	if x.onTrial && x.sends == 0 {
 		x.Crashes.ReturnTrial(x.subjects, time.Now())
@@ -203,7 +215,7 @@
 		return true
 	}
 	switch {
-	case x.sends >= maxSends:
+	case x.sends >= maxSends+x.returns:
 		x.verdict = "offered too often"
 	case x.runs > 0 && !x.route.Retryable():
 		x.verdict = "it may have run and may not run again"
@@ -233,7 +245,7 @@
 	defer cancel()
 	e := choice.Engine
 	x.answeringSince, x.progress = time.Time{}, progress{sentAt: now}
-	timer := x.newAbandonTimer(ctx, cancel)
+	timer := x.newAbandonTimer(ctx, cancel, e.ID)
 	defer timer.stop()
 	if timeout, ok := x.attemptTimeout(choice); ok {
 		timer.start(timeout, time.Now())
@@ -269,11 +281,11 @@
 	return x.relayBuffered(ctx, resp, e, inFlight)
 }
 
-// attemptTimeout returns how long an attempt may wait for the start of the answer. The time-out is longer if the engine has a long
-// prompt to prefill. It returns false if the attempt must not time out, because no other engine may be tried or the route has no target
-// time.
+// attemptTimeout returns how long an attempt may wait for the start of the answer if another engine can take the request then. The time-out is longer if
+// the engine has a long prompt to prefill. It returns false if the attempt must not time out, because no other engine may be tried or the route has no
+// target time.
 func (x *exchange) attemptTimeout(choice placing.Choice) (time.Duration, bool) {
-	if !x.route.Retryable() || !x.mayTryAnother(x.runs+1, x.sends+1) || x.route.TargetFirstByte <= 0 || choice.Alternatives == 0 {
+	if !x.route.Retryable() || !x.mayTryAnother(x.runs+1, x.sends+1) || x.route.TargetFirstByte <= 0 {
 		return 0, false
 	}
 	base := time.Duration(attemptTimeoutShare * float64(x.route.TargetFirstByte))
--- a/connection/forward/memory.go
+++ b/connection/forward/memory.go
@@ -4,14 +4,17 @@
 	"strconv"
 	"time"
 
+	"github.com/vanillaroute/vanillaroute/ident"
 	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 )
 
 // capacity returns what the engines of the service have memory for.
-func (x *exchange) capacity() placing.Capacity {
+func (x *exchange) capacity() placing.Capacity { return x.capacityIn(x.snapshot) }
+
+func (x *exchange) capacityIn(s Snapshot) placing.Capacity {
 	mean, largest := x.Costs.Memory(x.needs.Route.Service)
-	return placing.Capacity{MemoryTokens: x.snapshot.Configuration.Service(x.service).MemoryTokens, MeanTokens: mean, LargestTokens: largest}
+	return placing.Capacity{MemoryTokens: s.Configuration.Service(x.service).MemoryTokens, MeanTokens: mean, LargestTokens: largest}
 }
 
 // fitsAnyEngine reports whether the request has room in an empty engine, as far as the engines' memory is known and counts. It sets verdict if not.
@@ -32,10 +35,7 @@
 
 // choose chooses an engine with a free connection, among those with memory for the request if that counts, and records what the request holds of it.
 func (x *exchange) choose(r placing.Request, now time.Time) (placing.Choice, *placing.Placement, bool) {
-	x.withoutMemory = nil
-	if x.overload.Memory {
-		x.withoutMemory = x.Table.WithoutMemory(x.snapshot.Engines, r, x.capacity(), x.Costs.Estimate(x.needs).Memory, x.Holds, now)
-	}
+	x.withoutMemory = x.withoutMemoryIn(x.snapshot, r, now)
 	choice, inFlight, ok := x.Table.Choose(x.snapshot.Engines, r.WithTried(x.withoutMemory).WithTried(x.usedUp), now)
 	if !ok {
 		return choice, inFlight, false
@@ -50,6 +50,14 @@
 	return choice, inFlight, true
 }
 
+// withoutMemoryIn returns the engines of a snapshot without memory for the request, if that counts.
+func (x *exchange) withoutMemoryIn(s Snapshot, r placing.Request, now time.Time) []ident.Engine {
+	if !x.overload.Memory {
+		return nil
+	}
+	return x.Table.WithoutMemory(s.Engines, r, x.capacityIn(s), x.Costs.Estimate(x.needs).Memory, x.Holds, now)
+}
+
 // release ends what the attempt held of its engine.
 func (x *exchange) release() {
 	if x.hold != nil {
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -154,9 +154,9 @@
 	return streamEnd{result: s.failStream(err, s.engine)}
 }
 
-// startGapTimer starts the timer for the next event if another engine could resume the stream.
+// startGapTimer starts the timer for the next event if another engine may resume the stream, which takes an id of its last event.
 func (s *streamRelay) startGapTimer() {
-	if s.route.Resumable && s.mayTryAnother(s.runs, s.sends) && s.route.TargetEventGap > 0 {
+	if s.route.Resumable && s.mayTryAnother(s.runs, s.sends) && s.route.TargetEventGap > 0 && s.stream != nil && s.stream.last != "" {
 		s.timer.start(time.Duration(stallTimeoutFactor*float64(s.route.TargetEventGap)), time.Now())
 	}
 }
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -90,8 +90,6 @@
 		EngineLoad int
 		MeanLoad   float64
 		Cost       float64
-		// Alternatives is the number of other engines that can be tried now.
-		Alternatives int
 		// Cold says that the request takes a part of the engine's warm-up rate.
 		Cold bool
 	}
@@ -116,24 +114,18 @@
 	if len(list) == 0 {
 		return Choice{}, nil, false
 	}
-	states := make([]*engineState, len(list))
-	for i, e := range list {
-		states[i] = t.engineState(e.Key)
-	}
+	states := t.statesOf(list)
 	loads, mean := t.loads(list, states, r, now)
 	holders := t.prefixHolders(all, r, now)
 	shared := sharedTokens(r.Parts)
-	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
-	usual := max(mean, meanLoadOf(states, loads, func(s *engineState) bool { return !t.isLimited(s, now) }))
-	// crowded says that the engines without a limit together are over the load bound.
-	crowded := usual > t.policy.LoadBound*mean+loadAllowance
+	usual, crowded := t.crowding(states, loads, mean, now)
 	// The same holds for those that accept requests while others do not.
 	usual = max(usual, meanLoadOf(states, loads, func(s *engineState) bool { return s.accepts(now) }))
 	limit := t.policy.LoadBound*usual + loadAllowance
 	// Other instances decide on the same loads. Each draws its own limit, so that the probability of avoiding an engine grows with its load.
 	limit -= t.avoidance(shared) * max(limit-softBound*usual-softAllowance, 0)
 	best := Choice{Cost: math.Inf(1)}
-	bestTier, available := noTier, 0
+	bestTier := noTier
 	ranks := preferenceRanks(list, r.Parts)
 	width := t.spreadWidth(r.Parts, r.Instances, len(list), mean, limit, now)
 	slot := rand.IntN(width)
@@ -143,7 +135,7 @@
 		}
 		s := states[i]
 		room := t.roomAt(e.Key, s, now)
-		if !s.accepts(now) || room == noRoom || (crowded && e.Slots > 0 && loads[i] >= e.Slots) {
+		if !s.accepts(now) || room == noRoom || (crowded && isFull(e, loads[i])) {
 			continue
 		}
 		c := t.cost(e, s, r, holders, loads[i], now)
@@ -161,8 +153,6 @@
 		}
 		if now.Before(s.backoffUntil) {
 			tier = inBackoff
-		} else {
-			available++
 		}
 		if tier < bestTier || (tier == bestTier && c.Cost < best.Cost) {
 			best, bestTier = c, tier
@@ -171,7 +161,6 @@
 	if bestTier == noTier {
 		return Choice{}, nil, false
 	}
-	best.Alternatives = max(available-1, 0)
 	if holders.longestTokens() < shared {
 		best.guessSource(list, ranks)
 	}
@@ -183,10 +172,49 @@
 func (t *Table) HasUntried(all *engines.List, r Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(r.candidates(all), func(e engines.Engine) bool {
-		s := t.engineState(e.Key)
-		return !slices.Contains(r.Tried, e.ID) && s.accepts(now) && t.roomAt(e.Key, s, now) != noRoom
-	})
+	return slices.ContainsFunc(r.candidates(all), func(e engines.Engine) bool { return t.isUntried(e, r, now) })
+}
+
+// HasAlternative reports whether Choose would find an engine for a request that is worth giving up another one for: one in back-off is not.
+func (t *Table) HasAlternative(all *engines.List, r Request, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := r.candidates(all)
+	states := t.statesOf(list)
+	loads, mean := t.loads(list, states, r, now)
+	_, crowded := t.crowding(states, loads, mean, now)
+	for i, e := range list {
+		if crowded && isFull(e, loads[i]) {
+			continue
+		}
+		if t.isUntried(e, r, now) && !now.Before(states[i].backoffUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) isUntried(e engines.Engine, r Request, now time.Time) bool {
+	s := t.engineState(e.Key)
+	return !slices.Contains(r.Tried, e.ID) && s.accepts(now) && t.roomAt(e.Key, s, now) != noRoom
+}
+
+// crowding returns the usual load of the engines, and whether those without a limit together are over the load bound.
+func (t *Table) crowding(states []*engineState, loads []int, mean float64, now time.Time) (usual float64, crowded bool) {
+	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
+	usual = max(mean, meanLoadOf(states, loads, func(s *engineState) bool { return !t.isLimited(s, now) }))
+	return usual, usual > t.policy.LoadBound*mean+loadAllowance
+}
+
+// isFull reports whether all slots of an engine with that load are in use, as far as their number is known.
+func isFull(e engines.Engine, load int) bool { return e.Slots > 0 && load >= e.Slots }
+
+func (t *Table) statesOf(list []engines.Engine) []*engineState {
+	states := make([]*engineState, len(list))
+	for i, e := range list {
+		states[i] = t.engineState(e.Key)
+	}
+	return states
 }
 
 // guessSource sets the engine that all instances prefer for the prompt as its source if another engine was chosen.
--- a/request/placing/evacuated_test.go
+++ b/request/placing/evacuated_test.go
@@ -67,8 +67,8 @@
 					if source, known := all.Get(c.Source); slices.Contains(set.Domains(), c.Engine.Domain) || (known && slices.Contains(set.Domains(), source.Domain)) || slices.Contains(r.Tried, c.Engine.ID) {
 						t.Errorf("attempt %d: engine %s and source %s with %v evacuated", attempt, c.Engine.ID, source.ID, set.Domains())
 					}
-					if c.Alternatives != want-1 {
-						t.Errorf("attempt %d: %d alternatives, want %d", attempt, c.Alternatives, want-1)
+					if others := table.HasAlternative(all, r.WithTried([]ident.Engine{c.Engine.ID}), start); others != (want > 1) {
+						t.Errorf("attempt %d: another engine can be tried is %t, want %d others", attempt, others, want-1)
 					}
 					r.Tried, tried = append(r.Tried, c.Engine.ID), append(tried, c.Engine)
 				}
--- a/request/suspects/culprits.go
+++ b/request/suspects/culprits.go
@@ -77,27 +77,46 @@
 	return c, nil
 }
 
-// Refuses reports whether a request with these subjects would crash its engine.
+// Refuses reports whether a request with these subjects would crash its engine, and records that it is refused if so.
 func (t *Tracker) Refuses(ids []ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	refused := false
+	found, stored := t.culpritsIn(ids, now)
+	for _, c := range found {
+		t.markRefused(c, now)
+	}
+	for _, name := range stored {
+		s := t.stored[name]
+		s.refusedAt = now
+		t.stored[name] = s
+	}
+	return len(found)+len(stored) > 0
+}
+
+// WouldRefuse is Refuses without a record, for a request that is running.
+func (t *Tracker) WouldRefuse(ids []ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, stored := t.culpritsIn(ids, now)
+	return len(found)+len(stored) > 0
+}
+
+// culpritsIn returns the culprits among subjects: those that follow from the evidence, and the names of the stored ones.
+func (t *Tracker) culpritsIn(ids []ID, now time.Time) (found []Culprit, stored []string) {
 	if slices.ContainsFunc(ids, t.isCandidate) {
 		t.determine()
 		for _, f := range t.found {
 			if !now.Before(f.refusedFrom) && f.ids.within(ids) {
-				t.markRefused(f.ids, now)
-				refused = true
+				found = append(found, f.ids)
 			}
 		}
 	}
 	for name, s := range t.stored {
 		if s.ids.within(ids) && !t.isRefuted(s) {
-			s.refusedAt, refused = now, true
-			t.stored[name] = s
+			stored = append(stored, name)
 		}
 	}
-	return refused
+	return found, stored
 }
 
 // isCandidate reports whether there is enough evidence against a subject if no culprit explains it. It is false for nearly all requests, which
