engines: an entry that the store executed late does not replace a newer one

The store may execute a write seconds after it was sent. Instances put each valid entry of an engine in place of the one before, and the decoder dropped the sequence that orders the reports of a start. A late "ready" undid "draining", a removal, or the entry of a later start.

An entry of an earlier start, of a lower sequence, or of the same start soon after a removal is now held back, and what was known before stays in force. If it still stands after four intervals between reports, it is taken: an engine that runs has written its entry again by then, and the store has removed that of an engine that has ended. Later starts are taken at once, as are entries that lapsed while the store was away. The interval is a setting, which the template fills with the platform's; 2 s is the default. TestEveryFigureOfEnginesIsRead now expects sequence to be read.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -46,6 +46,8 @@
 	invalidValue = "{"
 	// drainingPrefix marks the address of an engine that takes no new requests.
 	drainingPrefix = "draining "
+	// reportSeparator stands before the start and the sequence of a report, if its value has these.
+	reportSeparator = " report "
 	// drainBound is the users' bound for the time between the store entry that marks an engine as draining and its last request.
 	drainBound = 3 * time.Second
 	// firstPort is the first of the ports of an instance. All instances use the same ports at different IP addresses, as on the platform.
@@ -141,7 +143,13 @@
 	if string(value) == invalidValue {
 		return engines.Engine{}, errors.New("broken")
 	}
-	address, draining := strings.CutPrefix(string(value), drainingPrefix)
+	registered, report, _ := strings.Cut(string(value), reportSeparator)
+	var startedAtMs int64
+	var sequence float64
+	if _, err := fmt.Sscan(report, &startedAtMs, &sequence); report != "" && err != nil {
+		return engines.Engine{}, err
+	}
+	address, draining := strings.CutPrefix(registered, drainingPrefix)
 	slots := 0
 	if strings.HasPrefix(key, "engines/"+slotsPrefix) {
 		slots = overloadSlots
@@ -150,7 +158,7 @@
 	if strings.HasPrefix(key, "engines/"+domainPrefix) {
 		domain = evacuatedDomain
 	}
-	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Domain: domain, Slots: slots, Draining: draining}, nil
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Domain: domain, Slots: slots, Draining: draining, StartedAtMs: startedAtMs, Sequence: sequence}, nil
 }
 
 // Evacuation decodes a value of invalidValue as one that cannot be read. A key without a domain is invalid.
--- a/process/entry/evacuations_test.go
+++ b/process/entry/evacuations_test.go
@@ -42,7 +42,7 @@
 // newOffline returns an instance with an engine in domain "a", without a network, and its log.
 func newOffline(bound time.Duration) (*Instance, *observer.ObservedLogs) {
 	core, logged := observer.New(zap.InfoLevel)
-	n := &Instance{mirror: mirror.New(), decodedEngines: make(map[string]engines.Engine), registered: make(map[string]string), arrivedEngines: make(map[ident.Engine]bool), table: placing.New(placing.Policy{}), log: zap.New(core), platform: Platform{
+	n := &Instance{mirror: mirror.New(), registry: engines.NewRegistry(), registered: make(map[string]string), arrivedEngines: make(map[ident.Engine]bool), table: placing.New(placing.Policy{}), log: zap.New(core), platform: Platform{
 		Decoder: domainDecoder{}, Keys: Keys{Configuration: "configuration", Engines: enginePrefix, Instances: "instances/", Evacuations: evacuationPrefix, Culprits: "culprits/"},
 	}}
 	s := &Settings{}
--- a/process/entry/heartbeat.go
+++ b/process/entry/heartbeat.go
@@ -67,6 +67,7 @@
 		colds = n.logColds(colds)
 		n.shareLimits()
 		n.shareWarmups()
+		n.acceptHeldEngines(boottime.Now())
 		for _, m := range n.randomMembers(heartbeatFanOut) {
 			n.send(m.Peer, n.newPing(), budget.Membership)
 		}
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -159,8 +159,10 @@
 		snapshot atomic.Pointer[snapshot]
 		// snapshotMu is held while a change is applied.
 		snapshotMu sync.Mutex
-		// decodedEngines are the valid registrations of engines, by store key; guarded by snapshotMu.
-		decodedEngines map[string]engines.Engine
+		// registry holds the registrations of engines, and storeAwayUntil is when the replica was first confirmed after a time in which entries may have
+		// lapsed; guarded by snapshotMu.
+		registry       *engines.Registry
+		storeAwayUntil boottime.Instant
 		// arrivedEngines are those whose entries have arrived since the table was last told, and registered are the peer addresses of the other
 		// registered instances, by store key; guarded by snapshotMu.
 		arrivedEngines map[ident.Engine]bool
@@ -211,7 +213,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
-		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), aheadPeers: make(chan peerRevision, maxHints), decodedEngines: make(map[string]engines.Engine),
+		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), aheadPeers: make(chan peerRevision, maxHints), registry: engines.NewRegistry(),
 		peerBytes:      sizelimit.NewBudget(peerBytes),
 		arrivedEngines: make(map[ident.Engine]bool), registered: make(map[string]string), roster: members.NewRoster(s.Instance.Peers.String()),
 	}
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -30,6 +30,8 @@
 	loadBoundShare = 0.75
 	// defaultLoadFactor applies if the platform sets no load factor.
 	defaultLoadFactor = 2
+	// defaultEngineReports applies if the platform does not say how often engines report.
+	defaultEngineReports = 2 * time.Second
 )
 
 type (
@@ -54,6 +56,9 @@
 			Address tomlfile.Address `toml:"address"`
 			// MinLease is the shortest lease that the store grants.
 			MinLease tomlfile.Duration `toml:"minLease"`
+			// EngineReports is how often engines report to the store, which removes the entry of one that has been silent for three times as long; 0 means
+			// the default.
+			EngineReports tomlfile.Duration `toml:"engineReports"`
 		} `toml:"store"`
 		Bounds struct {
 			// KeyRevocation is the time after which a revoked key must no longer be accepted, or 0 if there is no bound.
@@ -139,6 +144,7 @@
 		{s.Instance.Memory.Int64() == 0 || s.Instance.Memory.Int64() >= minMemory, "instance", "memory", "expected 64MB or more, or 0MB for the memory of the machine"},
 		{sizelimit.MemoryFits(s.Instance.Memory.Int64()), "instance", "memory", "expected no more than the memory of the machine"},
 		{s.Store.Address.IsValid(), "store", "address", "expected the IP number and port of the platform's store"},
+		{s.Store.EngineReports.Std() >= 0, "store", "engineReports", "expected a duration of 0 or more"},
 		{s.Bounds.Shutdown.Std() > 0, "bounds", "shutdown", "expected a duration above 0"},
 		{s.Bounds.Evacuate.Std() >= 0, "bounds", "evacuate", "expected a duration of 0 or more"},
 		{s.Bounds.MaxStretch.Std() >= 0, "bounds", "maxStretch", "expected a duration of 0 or more"},
@@ -179,6 +185,14 @@
 	return s.Bounds.InForce.Std()
 }
 
+// engineReports returns how often engines report to the store.
+func (s *Settings) engineReports() time.Duration {
+	if s.Store.EngineReports.Std() == 0 {
+		return defaultEngineReports
+	}
+	return s.Store.EngineReports.Std()
+}
+
 // schedule returns the schedule for reading the store that meets the bounds.
 func (s *Settings) schedule() readers.Schedule {
 	spread := s.inForce()
--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -1,12 +1,9 @@
 package entry
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -14,7 +11,6 @@
 	"github.com/vanillaroute/vanillaroute/boottime"
 	"github.com/vanillaroute/vanillaroute/connection/forward"
 	"github.com/vanillaroute/vanillaroute/ident"
-	"github.com/vanillaroute/vanillaroute/version/engines"
 	"github.com/vanillaroute/vanillaroute/version/members"
 	"github.com/vanillaroute/vanillaroute/version/mirror"
 	"go.uber.org/zap"
@@ -39,6 +35,7 @@
 func (n *Instance) apply(d mirror.Delta, confirmedAt boottime.Instant) bool {
 	n.snapshotMu.Lock()
 	defer n.snapshotMu.Unlock()
+	n.noteConfirmation(confirmedAt)
 	defer n.mirror.Confirm(d.Revision, confirmedAt)
 	changed := n.mirror.Apply(d)
 	n.loadedAt.CompareAndSwap(0, int64(boottime.Now()))
@@ -60,7 +57,7 @@
 		case e.Key == n.platform.Keys.Configuration:
 			n.applyConfiguration(&next, e, behind)
 		case strings.HasPrefix(e.Key, n.platform.Keys.Engines):
-			n.applyEngine(e)
+			n.applyEngine(e, confirmedAt)
 			enginesChanged = true
 		case strings.HasPrefix(e.Key, n.platform.Keys.Culprits):
 			n.applyCulprit(e)
@@ -79,9 +76,7 @@
 		}
 	}
 	if enginesChanged {
-		next.engines = engines.NewList(slices.SortedFunc(maps.Values(n.decodedEngines), func(a, b engines.Engine) int { return cmp.Compare(a.ID, b.ID) }))
-		// Logged after each change of the registered engines.
-		n.log.Info("engines known", zap.Int("ready", next.engines.ReadyCount()), zap.Int("all", len(n.decodedEngines)))
+		n.listEngines(&next)
 	}
 	if instancesChanged {
 		n.nameMembers()
@@ -99,6 +94,7 @@
 func (n *Instance) confirm(revision ident.Revision, confirmedAt boottime.Instant) {
 	n.snapshotMu.Lock()
 	defer n.snapshotMu.Unlock()
+	n.noteConfirmation(confirmedAt)
 	n.mirror.Confirm(revision, confirmedAt)
 }
 
@@ -129,21 +125,6 @@
 	return 0
 }
 
-// applyEngine applies a changed entry of an engine. An invalid entry counts as deleted.
-func (n *Instance) applyEngine(entry mirror.Entry) {
-	delete(n.decodedEngines, entry.Key)
-	if entry.Deleted {
-		return
-	}
-	e, err := n.platform.Decoder.Engine(entry.Key, entry.Value)
-	if err != nil {
-		n.logInvalidEntry(entry, err)
-		return
-	}
-	n.decodedEngines[entry.Key] = e
-	n.arrivedEngines[e.ID] = true
-}
-
 // peerIn returns the peer address in the entry of another instance, and false if it is this instance's own or no instance can have it.
 func (n *Instance) peerIn(entry mirror.Entry) (string, bool) {
 	peer := string(entry.Value)
--- a/version/engines/engines.go
+++ b/version/engines/engines.go
@@ -24,6 +24,8 @@
 		Draining bool
 		// StartedAtMs is when the engine started, in milliseconds since the epoch, or 0 if unknown. It differs between incarnations.
 		StartedAtMs int64
+		// Sequence counts the reports of the engine since its start.
+		Sequence float64
 		// ColdFor is how much longer the engine was cold when it registered or last said so, or 0.
 		ColdFor time.Duration
 		// Key is set by NewList.
