admission: failed attempts are logged with the figures of the decision

Of the requests that instances admit to an overloaded plain service, about a third is refused by a full engine. The logs did not tell why they were admitted: because an instance had not heard of others, took the service for idle, expected it to answer all, or drew them within its share. The line "attempt failed" now names the basis and its figures.

--- a/connection/forward/admission.go
+++ b/connection/forward/admission.go
@@ -37,6 +37,7 @@
 	request := x.admissionRequest()
 	request.Slots = x.Table.Slots(x.snapshot.Engines, r, now)
 	decision := x.Admission.Admit(request, now)
+	x.admission = &decision
 	if decision.Admitted {
 		x.expectedTime = decision.ExpectedTime
 		return true
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/upstream"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/admission"
 	"github.com/vanillaroute/vanillaroute/request/cost"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
@@ -110,6 +111,8 @@
 		// needs is what the request states of its cost, if a switch asks for it.
 		needs    cost.Request
 		progress progress
+		// admission is the decision to offer the request, or nil for streams and those that are ruled. It is only logged.
+		admission *admission.Decision
 		// ruled is what was decided about the request by its work, or nil.
 		ruled *ruled
 		// hold is what the current attempt holds of its engine, or nil.
--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -165,7 +165,20 @@
 	x.Metrics.Add("attemptsFailed", 1)
 	x.logPlaced(x.problemLog)
 	x.Log.Warn("attempt failed", zap.String("request", string(x.id)), zap.String("engine", string(c.Engine.ID)), zap.Stringer("result", r), zap.String("reason", x.reason),
-		zap.Stringer("fingerprint", x.subjects.Request), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)))
+		zap.Stringer("fingerprint", x.subjects.Request), zap.Int("bodyBytes", len(x.body)), zap.String("parts", x.r.Header.Get(x.Names.PromptParts)), zap.Inline(zapcore.ObjectMarshalerFunc(x.addAdmission)))
+}
+
+// addAdmission adds the figures behind the decision to offer the request.
+func (x *exchange) addAdmission(to zapcore.ObjectEncoder) error {
+	if d := x.admission; d != nil {
+		to.AddString("admission", d.Basis.String())
+		to.AddFloat64("admittedWith", d.Probability)
+		to.AddFloat64("arrivals", d.Arrivals)
+		to.AddFloat64("answers", d.Answers)
+		to.AddFloat64("running", d.Running)
+		to.AddDuration("expectedMs", d.ExpectedTime)
+	}
+	return nil
 }
 
 // checkCrashed records a lost answer, and that its engine has crashed if the address refuses connections now. If nobody waits for the answer any more, the
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -37,7 +37,26 @@
 	forgetCount = 0.05
 )
 
+// Bases of decisions.
+const (
+	// Unknown means that no answer has been counted.
+	Unknown Basis = iota
+	// Unheard means that too few instances have sent their counts lately.
+	Unheard
+	// WithoutTarget means that the route has no target time, or the service no known slots.
+	WithoutTarget
+	// Idle means that the engines have fewer requests than slots.
+	Idle
+	// Enough means that the engines can answer all requests.
+	Enough
+	// Limited means that only a part of the requests is admitted.
+	Limited
+)
+
 type (
+	// Basis says what a decision of Admit is based on.
+	Basis uint8
+
 	// ClassID identifies a route or an organisation. Two of them may have the same ClassID; then they share what one would get.
 	ClassID uint16
 
@@ -68,6 +87,10 @@
 		Probability float64
 		// ExpectedTime is how long recent answers took, on average.
 		ExpectedTime time.Duration
+		// Basis says why Admit admits all requests, or that it does not, and Arrivals, Answers and Running are the mean counts of an instance and the requests
+		// at the engines that this follows from. They are only logged.
+		Basis                      Basis
+		Arrivals, Answers, Running float64
 		// Reason says why AdmitByWork refuses a request, and Backlog is the time in which engines do what goes first.
 		Reason  Reason
 		Backlog time.Duration
@@ -122,6 +145,11 @@
 	classes map[Class]*decay.Count
 )
 
+// String returns the name of the basis in logs.
+func (b Basis) String() string {
+	return [...]string{"unknown", "unheard", "withoutTarget", "idle", "enough", "limited"}[b]
+}
+
 // New returns a controller that has seen no request.
 func New() *Controller {
 	return &Controller{services: make(map[ident.ServiceID]*service), peers: make(map[string]time.Time)}
@@ -147,21 +175,31 @@
 		fleet = &s.own
 	}
 	arrivals, answers, seconds := fleet.arrivals.At(now), fleet.answers.At(now), fleet.answerSeconds.At(now)
-	d := Decision{Admitted: true, Probability: 1}
+	d := Decision{Admitted: true, Probability: 1, Arrivals: arrivals, Answers: answers}
 	if answers <= 0 {
 		return d
 	}
 	d.ExpectedTime = time.Duration(seconds / answers * float64(time.Second))
-	running := seconds / decay.TimeConstant.Seconds() * float64(r.Instances)
-	if c.heard.At(now) < min(minHeard, float64(r.Instances-1)) || r.Target <= 0 || r.Slots <= 0 || running <= float64(r.Slots) {
+	d.Running = seconds / decay.TimeConstant.Seconds() * float64(r.Instances)
+	switch {
+	case c.heard.At(now) < min(minHeard, float64(r.Instances-1)):
+		d.Basis = Unheard
+		return d
+	case r.Target <= 0 || r.Slots <= 0:
+		d.Basis = WithoutTarget
+		return d
+	case d.Running <= float64(r.Slots):
+		d.Basis = Idle
 		return d
 	}
 	wanted := targetShare * r.Target.Seconds()
 	change := (wanted - d.ExpectedTime.Seconds()) / wanted
 	allowed := answers * (1 + max(riseGain*max(change, 0)+fallGain*min(change, 0), -maxFall))
 	if allowed >= arrivals {
+		d.Basis = Enough
 		return d
 	}
+	d.Basis = Limited
 	s.overloadedUntil = now.Add(overloadSpan)
 	d.Probability = admittedShare(fleet.routes.at(now), fleet.organisations.at(now), r.Route, r.Organisation, arrivals, allowed)
 	if rand.Float64() < d.Probability {
