entry: a late write of an instance undoes no newer one

The store may execute a write whose answer was lost seconds later. Of what instances write, a late write of a culprit put a refusal back that a newer write had cleared, so callers were refused, and a late registration put an instance's entry under a lease that nobody renews, so that it ended after 30 s although the instance ran.

Both now expect the revision that the instance knows of the key: the store does not execute a late write whose condition no longer holds. The first registration of an instance comes before it knows the store, so each renewal also checks that the entry is still that of its lease, and writes it again if not.

--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -250,7 +250,8 @@
 	if due.Cleared {
 		value = valueCleared
 	}
-	_, err := n.platform.Store.PutWithLease(ctx, prefix+due.Culprit.String(), []byte(value), culpritTTL)
+	key := prefix + due.Culprit.String()
+	_, err := n.platform.Store.PutWithLease(ctx, key, []byte(value), n.lastChange(key), culpritTTL)
 	return err
 }
 
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -45,6 +45,9 @@
 	addressValidity = time.Second
 )
 
+// AnyRevision lets a value replace whatever the key holds.
+const AnyRevision ident.Revision = -1
+
 type (
 	// Store is the platform's store.
 	Store interface {
@@ -53,12 +56,20 @@
 		// Watch returns the changes after a revision as soon as there are any, or none after wait, and the revision reached. It fails with
 		// *CompactedError if the store no longer keeps these changes, and with *IncompleteReplyError if they are too many to arrive in time.
 		Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) ([]mirror.Entry, ident.Revision, error)
-		// PutWithLease stores a value under a new lease and returns the lease. The store deletes the value when the lease expires.
-		PutWithLease(ctx context.Context, key string, value []byte, ttl time.Duration) (string, error)
+		// PutWithLease stores a value under a new lease and returns the lease. The store deletes the value when the lease expires. It fails if the last change
+		// of the key is another one than that of revision after, also if the store executes the call late: 0 means that the key does not exist, and
+		// AnyRevision that the change does not matter.
+		PutWithLease(ctx context.Context, key string, value []byte, after ident.Revision, ttl time.Duration) (Lease, error)
 		// RenewLease extends a lease by its time to live.
 		RenewLease(ctx context.Context, lease string) error
 	}
 
+	// Lease is a lease under which a value was stored by the change of a revision.
+	Lease struct {
+		ID       string
+		Revision ident.Revision
+	}
+
 	// Page is a part of the entries whose keys start with a prefix, ordered by key.
 	Page struct {
 		Entries []mirror.Entry
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -328,10 +328,9 @@
 
 // register keeps this instance's peer address in the store under a lease, so that instances that start later find it.
 func (n *Instance) register(ctx context.Context) error {
-	name := n.settings.Load().Instance.Name
-	lease := ""
+	var lease Lease
 	for ctx.Err() == nil {
-		err := n.renewRegistration(ctx, &lease, name)
+		err := n.renewRegistration(ctx, &lease)
 		wait := renewPeriod
 		if err != nil {
 			n.log.Debug("instance not registered in the store", zap.Error(err))
@@ -344,18 +343,37 @@
 	return ctx.Err()
 }
 
-// renewRegistration renews the lease of the registration, or registers anew if there is no lease. After a failed renewal it clears the lease.
-func (n *Instance) renewRegistration(ctx context.Context, lease *string, name string) error {
+// renewRegistration renews the lease of the registration, or registers anew if there is no lease or another write has taken the place of the registration.
+// After a failed renewal it clears the lease.
+func (n *Instance) renewRegistration(ctx context.Context, lease *Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if *lease == "" {
-		id, err := n.platform.Store.PutWithLease(ctx, n.platform.Keys.Instances+name, []byte(n.self), max(registrationTTL, n.settings.Load().Store.MinLease.Std()))
-		*lease = id
+	key := n.platform.Keys.Instances + n.settings.Load().Instance.Name
+	if lease.ID == "" || n.isReplaced(key, *lease) {
+		var err error
+		*lease, err = n.platform.Store.PutWithLease(ctx, key, []byte(n.self), n.lastChange(key), max(registrationTTL, n.settings.Load().Store.MinLease.Std()))
 		return err
 	}
-	err := n.platform.Store.RenewLease(ctx, *lease)
+	err := n.platform.Store.RenewLease(ctx, lease.ID)
 	if err != nil {
-		*lease = ""
+		*lease = Lease{}
 	}
 	return err
 }
+
+// lastChange returns the revision of the last change of a key that this instance knows, or AnyRevision if it knows none of the store.
+func (n *Instance) lastChange(key string) ident.Revision {
+	if _, _, loaded := n.mirror.State(); !loaded {
+		return AnyRevision
+	}
+	e, _ := n.mirror.Get(key)
+	return e.Revision
+}
+
+// isReplaced reports whether the entry of a key is no longer that of a lease: an earlier write of this instance may have been executed late, whose lease
+// nobody renews.
+func (n *Instance) isReplaced(key string, lease Lease) bool {
+	revision, _, loaded := n.mirror.State()
+	e, _ := n.mirror.Get(key)
+	return loaded && revision >= lease.Revision && e.Revision != lease.Revision
+}
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -21,6 +21,9 @@
 	deliveryChunkBytes = 16 << 10
 )
 
+// ErrConflict is returned for a write whose condition does not hold.
+var ErrConflict = errors.New("the key has changed")
+
 var errUnavailable = errors.New("store unavailable")
 
 type (
@@ -213,21 +216,21 @@
 	}
 }
 
-// PutWithLease stores a value and returns a lease ID. Leases do not expire here.
-func (c *Client) PutWithLease(ctx context.Context, key string, value []byte, _ time.Duration) (string, error) {
+// PutWithLease stores a value if the last change of the key is that of revision after, and returns a lease. Leases do not expire here.
+func (c *Client) PutWithLease(ctx context.Context, key string, value []byte, after ident.Revision, _ time.Duration) (entry.Lease, error) {
 	if err := c.admitCall(ctx); err != nil {
-		return "", err
+		return entry.Lease{}, err
 	}
 	c.store.mu.Lock()
-	err := c.checkAvailable()
-	c.store.leases++
-	id := strconv.Itoa(c.store.leases)
-	c.store.mu.Unlock()
-	if err != nil {
-		return "", err
+	defer c.store.mu.Unlock()
+	if err := c.checkAvailable(); err != nil {
+		return entry.Lease{}, err
 	}
-	c.store.Put(key, value)
-	return id, nil
+	if after != entry.AnyRevision && c.store.entries[key].Revision != after {
+		return entry.Lease{}, ErrConflict
+	}
+	c.store.leases++
+	return entry.Lease{ID: strconv.Itoa(c.store.leases), Revision: c.store.writeLocked(mirror.Entry{Key: key, Value: value})}, nil
 }
 
 // RenewLease counts as a call and returns an error if the store is unavailable. It has no other effect, because leases do not
@@ -278,6 +281,11 @@
 func (s *Store) write(e mirror.Entry) ident.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.writeLocked(e)
+}
+
+// writeLocked is write for a caller that holds mu.
+func (s *Store) writeLocked(e mirror.Entry) ident.Revision {
 	s.revision++
 	e.Revision = s.revision
 	if e.Deleted {
