relay: the entry router decides whether a silent engine is given up

Chats of serve got 502 when all engines of their model were silent for a moment, or the only one was: the home gave up the engine after firstTokenTimeout or stallTimeout. It does not know which engines were tried nor the retry budget, so the entry router often had nowhere to go.

Homes now tell entry routers of a silence once a second.

--- a/process/home/attempt.go
+++ b/process/home/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"time"
 
@@ -21,7 +22,9 @@
 	maxResumes = 2
 	// resumeDelay is the wait before a resume. If several engines crash together, it also ensures that all of them are down before a
 	// request of one is sent to another.
-	resumeDelay   = 50 * time.Millisecond
+	resumeDelay = 50 * time.Millisecond
+	// silencePeriod is how often the entry router is told that an engine is still silent.
+	silencePeriod = time.Second
 	priorityShort = 10
 	priorityLong  = 0
 	// statusClientClosedRequest is the non-standard status of a request whose caller has closed the connection.
@@ -46,9 +49,14 @@
 
 // call streams the answer. If a streamed answer is truncated, call resumes it at the engine up to maxResumes times.
 func (e *Engine) call(r *run.Run) error {
-	ctx, cancel := context.WithCancelCause(r.Context())
-	defer cancel(nil)
-	stall := time.AfterFunc(e.set.policy.FirstTokenTimeout.Std(), func() { cancel(errTokenTimeout) })
+	ctx := r.Context()
+	// The entry router decides whether another engine goes on: it knows the budget for retries and the engines that were tried.
+	var stall *time.Timer
+	stall = time.AfterFunc(math.MaxInt64, func() {
+		r.RecordSilence()
+		stall.Reset(silencePeriod)
+	})
+	stall.Reset(e.set.policy.FirstTokenTimeout.Std())
 	defer stall.Stop()
 	event := func(data []byte) {
 		stall.Reset(e.set.policy.StallTimeout.Std())
@@ -69,8 +77,8 @@
 		pause.For(ctx, resumeDelay)
 		err = toLostError(e.client.Resume(ctx, r.Submit.Request, r.NextOffset(), event))
 	}
-	if cause := context.Cause(ctx); cause != nil && err != nil {
-		return cause
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
 	}
 	return err
 }
@@ -201,8 +209,6 @@
 		return wire.End{Refusal: wire.Refuse(http.StatusServiceUnavailable, wire.CodeNoEngine, "engine %s cannot be reached", e.id)}
 	case errors.As(err, &status):
 		return wire.End{Refusal: statusRefusal(status)}
-	case errors.Is(err, errTokenTimeout):
-		return wire.End{Refusal: failedRefusal("engine %s stopped answering", string(e.id))}
 	case r.Context().Err() != nil:
 		return wire.End{Refusal: &wire.Refusal{Status: statusClientClosedRequest, Code: wire.CodeBadRequest, Message: "cancelled", Outcome: wire.OutcomeFailed}}
 	default:
--- a/process/home/caches.go
+++ b/process/home/caches.go
@@ -14,8 +14,6 @@
 	minLength     = 1
 )
 
-var errTokenTimeout = errors.New("no token within the time limit")
-
 type (
 	// overflowCache maps each chat that overflowed to the engine that accepted it.
 	overflowCache struct {
--- a/process/home/crash_test.go
+++ b/process/home/crash_test.go
@@ -135,7 +135,7 @@
 
 func refusalOfRun(t *testing.T, r *run.Run) *wire.Refusal {
 	t.Helper()
-	events, end, err := r.Wait(t.Context(), 0, 1)
+	events, end, err := r.Wait(t.Context(), 0, 1, new(run.Silences))
 	if err != nil || end == nil || end.Refusal == nil {
 		t.Fatalf("%s ended with %v, %v, %v", r.Submit.Request, events, end, err)
 	}
--- a/request/relay/hedge.go
+++ b/request/relay/hedge.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
 
@@ -140,8 +142,13 @@
 		loser = hedge
 	}
 	if winner.failed() {
-		winner.source.Close(true)
-		winner = <-results
+		if other := <-results; other.failed() && errors.Is(winner.err, run.ErrSilent) {
+			// The silent engine is the only one that may still answer.
+			other.source.Close(true)
+		} else {
+			winner.source.Close(true)
+			winner = other
+		}
 	} else {
 		loser.Close(true)
 	}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/ident"
+	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/settings"
 	"github.com/vanillaroute/vanillaroute/version/fleet"
@@ -68,9 +69,11 @@
 		overflowEngine  ident.Engine
 		failures        int
 		mayHaveRun      bool
-		// waitingSince is when the request began to wait for an engine: on arrival or with the last event delivered.
+		// waitingSince is when the request began to wait for an engine: on arrival, with the last event delivered or as it left a silent engine.
 		waitingSince time.Time
-		deadline     time.Time
+		// silentSince is when the current engine was first found to be silent, or zero after an event.
+		silentSince time.Time
+		deadline    time.Time
 	}
 
 	// step is the next action after an attempt.
@@ -198,7 +201,18 @@
 		engine = c.submit.Engine
 		home = c.View().HomeOf(engine)
 	}
-	for err == nil && end == nil {
+	for end == nil {
+		if errors.Is(err, run.ErrSilent) {
+			if c.mayLeaveSilent(engine, time.Now()) {
+				source.Close(true)
+				return c.leaveSilent(engine)
+			}
+			events, end, err = source.Next(ctx)
+			continue
+		}
+		if err != nil {
+			break
+		}
 		if err := c.deliver(engine, home, events); err != nil {
 			source.Close(false)
 			return wire.End{}, stepFinish, err
@@ -247,7 +261,7 @@
 	if c.delivered > 0 {
 		limit = max(limit, resumeTimeout)
 	}
-	c.waitingSince = now
+	c.waitingSince, c.silentSince = now, time.Time{}
 	c.deadline = now.Add(limit)
 }
 
--- a/request/relay/source.go
+++ b/request/relay/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/connection/peer"
 	"github.com/vanillaroute/vanillaroute/request/run"
 	"github.com/vanillaroute/vanillaroute/wire"
@@ -20,7 +21,8 @@
 type (
 	// Source is the stream of an answer from a home router.
 	Source interface {
-		// Next returns the next events or the end. It returns an error if the home was lost.
+		// Next returns the next events or the end. It returns run.ErrSilent if the engine has been silent for too long, after which it can be called again,
+		// and another error if the home was lost.
 		Next(ctx context.Context) ([][]byte, *wire.End, error)
 		// Acknowledge reports the number of events delivered so far.
 		Acknowledge(n int)
@@ -29,8 +31,9 @@
 	}
 
 	localSource struct {
-		run  *run.Run
-		next int
+		run      *run.Run
+		next     int
+		silences run.Silences
 	}
 
 	remoteSource struct {
@@ -52,7 +55,7 @@
 func Refused(r *wire.Refusal) Source { return refusedSource{refusal: r} }
 
 func (s *localSource) Next(ctx context.Context) ([][]byte, *wire.End, error) {
-	events, end, err := s.run.Wait(ctx, s.next, eventLimit)
+	events, end, err := s.run.Wait(ctx, s.next, eventLimit, &s.silences)
 	s.next += len(events)
 	return events, end, err
 }
@@ -71,6 +74,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if f.Kind == wire.KindSilent {
+		return nil, nil, run.ErrSilent
+	}
 	if f.Kind == wire.KindEnd {
 		s.ended = true
 		end, err := wire.Decode[wire.End](f.Body)
@@ -115,6 +121,7 @@
 	}()
 	defer func() { r.Detach(time.Now()) }()
 	sent, passed := from, from
+	var silences run.Silences
 	for {
 		for sent-passed >= Window {
 			select {
@@ -127,7 +134,13 @@
 		case passed = <-acks:
 		default:
 		}
-		events, end, err := r.Wait(ctx, sent, min(eventLimit, Window-(sent-passed)))
+		events, end, err := r.Wait(ctx, sent, min(eventLimit, Window-(sent-passed)), &silences)
+		if errors.Is(err, run.ErrSilent) {
+			if s.Send(ctx, wire.KindSilent, nil) != nil {
+				return
+			}
+			continue
+		}
 		if err != nil {
 			return
 		}
--- a/request/run/run.go
+++ b/request/run/run.go
@@ -5,10 +5,17 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vanillaroute/vanillaroute/wire"
 )
 
+// ErrSilent is returned to a reader if the engine is silent for too long. The run goes on.
+var ErrSilent = errors.New("the engine is silent")
+
 type (
+	// Silences is the number of silences of an engine that a reader of a run knows of.
+	Silences int
+
 	// Run is one request at its home router with the events of its answer. It is safe for concurrent use.
 	Run struct {
 		Submit wire.Submit
@@ -21,6 +28,8 @@
 		bytes      int
 		end        *wire.End
 		changed    chan struct{}
+		// silences counts the times at which the engine was silent for too long.
+		silences   int
 		readers    int
 		detachedAt time.Time
 		endedAt    time.Time
@@ -50,6 +59,14 @@
 	r.notifyReaders()
 }
 
+// RecordSilence records that the engine has been silent for too long, which readers learn.
+func (r *Run) RecordSilence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silences++
+	r.notifyReaders()
+}
+
 // Finish ends the answer. Only the first call has an effect.
 func (r *Run) Finish(end wire.End, now time.Time) {
 	r.mu.Lock()
@@ -84,20 +101,24 @@
 	return from >= r.baseOffset && (r.end == nil || r.end.Refusal == nil)
 }
 
-// Wait waits for events from an offset on and returns up to limit of them, or the end after the last event. It returns an error if ctx
-// ends first.
-func (r *Run) Wait(ctx context.Context, from, limit int) ([][]byte, *wire.End, error) {
+// Wait waits for events from an offset on and returns up to limit of them, or the end after the last event. It returns ErrSilent if the engine is silent for
+// too long once more than the reader knows, and another error if ctx ends first.
+func (r *Run) Wait(ctx context.Context, from, limit int, known *Silences) ([][]byte, *wire.End, error) {
 	for {
 		r.mu.Lock()
 		available := r.events[min(max(from-r.baseOffset, 0), len(r.events)):]
-		end := r.end
+		end, silences := r.end, Silences(r.silences)
 		changed := r.changeSignal()
 		r.mu.Unlock()
-		if len(available) > 0 {
+		switch {
+		case len(available) > 0:
+			*known = silences
 			return available[:min(len(available), limit)], nil, nil
-		}
-		if end != nil {
+		case end != nil:
 			return nil, end, nil
+		case silences > *known:
+			*known = silences
+			return nil, nil, ErrSilent
 		}
 		select {
 		case <-changed:
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -29,6 +29,8 @@
 	KindGossipReply
 	KindCall
 	KindReply
+	// KindSilent has no message. It says that the engine of a stream has been silent for too long.
+	KindSilent
 	kindLimit
 )
 
