admission: classes keep their shares while messages say nothing of them

While a plain service is overloaded, instances learn the shares of routes and organisations from heartbeats. These leave them out if the control budget has no room, as in the seconds of many changes.

A message without classes now scales the counts of classes with that of all requests, so their shares stay.

TestSmallClassesKeepTheirSharesWithoutNewsOfThem fails before: 20 of 20 requests are admitted where 2 are answered.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -303,7 +303,14 @@
 
 // average averages the counts with those that another instance has sent.
 func (c *counts) average(d Demand, now time.Time) {
+	before := c.arrivals.At(now)
 	c.arrivals.Average(d.Arrivals, now)
+	if len(d.Routes) == 0 && before > 0 {
+		// The message says nothing of classes, for want of room or need, so they keep their shares. Counts that only decay would soon take nearly all
+		// requests for those of small classes.
+		c.routes.scale(c.arrivals.At(now) / before)
+		c.organisations.scale(c.arrivals.At(now) / before)
+	}
 	c.answers.Average(d.Answers, now)
 	c.answerSeconds.Average(d.AnswerTime.Seconds(), now)
 	c.routes.average(d.Routes, maxRoutes, now)
@@ -319,6 +326,13 @@
 	return n
 }
 
+// scale multiplies all counts by a factor.
+func (c classes) scale(factor float64) {
+	for _, n := range c {
+		n.Scale(factor)
+	}
+}
+
 func (c classes) at(now time.Time) map[Class]float64 {
 	counts := make(map[Class]float64, len(c))
 	for class, n := range c {
--- a/request/decay/decay.go
+++ b/request/decay/decay.go
@@ -31,6 +31,9 @@
 	return c.value * math.Exp(-max(at.Sub(c.at), 0).Seconds()/TimeConstant.Seconds())
 }
 
+// Scale multiplies the count by a factor.
+func (c *Count) Scale(factor float64) { c.value *= factor }
+
 // Average replaces the count at a time by its mean with another one.
 func (c *Count) Average(other float64, at time.Time) {
 	c.value, c.at = (c.At(at)+other)/2, at
