admission: organisations share what a route gets

While a plain service is overloaded, callers on a light route were refused if their organisation sent much elsewhere, or if they had none: callers without an organisation count as one. The shares of the route and of the organisation were multiplied. Besides, unknown classes got all they asked for before known ones of nearly the same size got anything.

Routes now share what is allowed, max-min fairly, and organisations share what a route gets, so a light route is served whoever asks. Unknown classes count as the fewest that can send the rest. The rule by work multiplied the same shares and is changed alike; the factor that made up for the products is not needed any more.

--- a/request/admission/share.go
+++ b/request/admission/share.go
@@ -12,14 +12,12 @@
 // more urgent ones first.
 const commonShare = 0.5
 
-// scaleSteps is enough to find all requests that are admitted whole.
-const scaleSteps = 8
-
-// part is a part of the requests, and the fraction of it that is admitted if its class is considered alone.
-type part struct{ size, share float64 }
+// division returns the share of a class if what is allowed of all requests of a priority is divided among the classes of which the given numbers are known.
+type division func(classes map[Class]float64, of Class, all, allowed float64) float64
 
 // admittedShare returns the fraction of the requests of an organisation on a route that is admitted if the service can answer allowed ones of all arrivals,
-// of which the given numbers by route and by organisation are known.
+// of which the given numbers by route and by organisation are known. Routes share what is allowed, and organisations what a route gets: a light route is
+// served whole, also for an organisation that sends most of the requests. Routes and organisations count as independent of each other.
 func admittedShare(routes, organisations map[Class]float64, route, org Class, arrivals, allowed float64) float64 {
 	byPriority := make(map[routing.Priority]float64)
 	for class, n := range routes {
@@ -31,54 +29,44 @@
 	if allowed >= all {
 		return 1
 	}
-	byRoute, routeShare := fairShares(routes, route, all, allowed)
-	byOrganisation, organisationShare := fairShares(organisations, org, all, allowed)
-	return min(routeShare*organisationShare*admittedScale(byRoute, byOrganisation, all, allowed), 1)
+	return flowShare(fairShare, routes, organisations, route, org, all, allowed)
 }
 
-// admittedScale returns the factor by which the products of shares are multiplied, up to 1 each, so that as many of all requests are admitted as are allowed.
-// Routes and organisations count as independent of each other.
-func admittedScale(byRoute, byOrganisation []part, all, allowed float64) float64 {
-	scale := 1.0
-	for range scaleSteps {
-		left, scaled := allowed, 0.0
-		for _, r := range byRoute {
-			for _, o := range byOrganisation {
-				size, share := r.size*o.size/all, r.share*o.share
-				if share*scale >= 1 {
-					left -= size
-				} else {
-					scaled += size * share
-				}
-			}
-		}
-		if scaled <= 0 {
-			break
-		}
-		scale = max(left/scaled, scale)
+// flowShare divides what is allowed of all requests of a priority among routes, and what a route gets among organisations, and returns the share of an
+// organisation on a route.
+func flowShare(divide division, routes, organisations map[Class]float64, route, org Class, all, allowed float64) float64 {
+	routeShare := divide(routes, route, all, allowed)
+	if routeShare >= 1 {
+		return 1
 	}
-	return scale
+	return divide(organisations, org, all, routeShare*all)
 }
 
-// fairShares divides all requests of a priority into those of each class and those of unknown ones, which are small, and returns the share of one class.
-func fairShares(classes map[Class]float64, of Class, all, allowed float64) ([]part, float64) {
-	known := make(map[Class]float64)
+// fairShare divides what is allowed of all requests of a priority max-min fairly among their classes, and returns the share of one. The unknown classes are
+// smaller than the known ones; they count as the fewest that can send the rest.
+func fairShare(classes map[Class]float64, of Class, all, allowed float64) float64 {
+	var demands []float64
 	for class, n := range classes {
 		if class.Priority == of.Priority {
-			known[class] = n
+			demands = append(demands, n)
 		}
 	}
-	scale := min(all/total(known), 1)
-	unknown := max(all-total(known), 0)
-	level := fairLevel(known, max(allowed-unknown, 0)/scale)
-	parts := []part{{unknown, 1}}
-	for _, n := range known {
-		parts = append(parts, part{n * scale, min(level/n, 1)})
+	known := sumOf(demands)
+	scale := min(all/known, 1)
+	unknown, size := max(all-known, 0), 0.0
+	if unknown > 0 {
+		count := 1.0
+		if len(demands) > 0 {
+			count = math.Ceil(unknown / slices.Min(demands))
+		}
+		size = unknown / count
+		demands = append(demands, slices.Repeat([]float64{size}, int(count))...)
 	}
-	if n, ok := known[of]; ok {
-		return parts, min(level/n, 1)
+	level := fairLevel(demands, allowed/scale)
+	if n, ok := classes[of]; ok {
+		size = n
 	}
-	return parts, 1
+	return min(level/max(size, forgetCount), 1)
 }
 
 // priorityShare returns how many of the allowed requests are of a priority.
@@ -96,9 +84,9 @@
 }
 
 // fairLevel returns the level up to which each demand is met if all share a capacity max-min fairly, and infinity if the capacity meets all of them.
-func fairLevel(demands map[Class]float64, capacity float64) float64 {
+func fairLevel(demands []float64, capacity float64) float64 {
 	left := capacity
-	for i, d := range slices.Sorted(maps.Values(demands)) {
+	for i, d := range slices.Sorted(slices.Values(demands)) {
 		if level := left / float64(len(demands)-i); d > level {
 			return level
 		}
@@ -108,6 +96,10 @@
 }
 
 func total[K comparable](values map[K]float64) float64 {
+	return sumOf(slices.Collect(maps.Values(values)))
+}
+
+func sumOf(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
 		sum += v
--- a/request/admission/work.go
+++ b/request/admission/work.go
@@ -225,38 +225,30 @@
 	if left >= all {
 		return 1
 	}
-	byRoute, routeShare := workShares(routes, route, all, left)
-	byOrganisation, organisationShare := workShares(organisations, org, all, left)
-	ordered := min(routeShare*organisationShare*admittedScale(byRoute, byOrganisation, all, left), 1)
+	ordered := flowShare(workClassShare, routes, organisations, route, org, all, left)
 	// The size decides less the more of its flow is admitted, and nothing if all of it is.
 	return floor + rest*(1-math.Pow(1-ordered, a.size))
 }
 
-// workShares divides the work of a priority max-min fairly among its classes, and returns the share of one. Those that are not known form one class: each is
-// small, but together they are not.
-func workShares(classes map[Class]float64, of Class, all, allowed float64) ([]part, float64) {
-	known := make(map[Class]float64)
+// workClassShare divides the work of a priority max-min fairly among its classes, and returns the share of one. Those that are not known form one class: each
+// is small, but together they are not.
+func workClassShare(classes map[Class]float64, of Class, all, allowed float64) float64 {
+	demands := make(map[Class]float64)
 	for class, n := range classes {
 		if class.Priority == of.Priority && n > 0 {
-			known[class] = n
+			demands[class] = n
 		}
 	}
-	scale := 1.0
-	if sum := total(known); sum > all {
-		scale = all / sum
+	known := total(demands)
+	scale := min(all/known, 1)
+	_, isKnown := demands[of]
+	others := Class{Priority: of.Priority}
+	if all > known {
+		demands[others] += all - known
 	}
-	others := max(all-total(known), 0)
-	demands := maps.Clone(known)
-	if others > 0 {
-		demands[Class{Priority: of.Priority}] += others
+	if !isKnown {
+		of = others
 	}
-	level := fairLevel(demands, allowed/scale)
-	parts := make([]part, 0, len(demands))
-	for _, n := range demands {
-		parts = append(parts, part{n * scale, min(level/n, 1)})
-	}
-	if n, ok := known[of]; ok {
-		return parts, min(level/n, 1)
-	}
-	return parts, min(level/max(others, 1e-9), 1)
+	level := fairLevel(slices.Collect(maps.Values(demands)), allowed/scale)
+	return min(level/max(demands[of], 1e-9), 1)
 }
