admission: a decayed class does not size the unknown ones

The size is now at least that at which a class is forgotten, and classes of the same size are one element with their number. The shares are the same.

TestDecayedClassesDoNotSizeTheUnknownOnes panics before.

--- a/request/admission/share.go
+++ b/request/admission/share.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -12,6 +13,9 @@
 // more urgent ones first.
 const commonShare = 0.5
 
+// demand is the requests of a number of classes of the same size.
+type demand struct{ size, count float64 }
+
 // division returns the share of a class if what is allowed of all requests of a priority is divided among the classes of which the given numbers are known.
 type division func(classes map[Class]float64, of Class, all, allowed float64) float64
 
@@ -45,22 +49,21 @@
 // fairShare divides what is allowed of all requests of a priority max-min fairly among their classes, and returns the share of one. The unknown classes are
 // smaller than the known ones; they count as the fewest that can send the rest.
 func fairShare(classes map[Class]float64, of Class, all, allowed float64) float64 {
-	var demands []float64
+	var demands []demand
+	known, least := 0.0, math.Inf(1)
 	for class, n := range classes {
 		if class.Priority == of.Priority {
-			demands = append(demands, n)
+			demands = append(demands, demand{n, 1})
+			known, least = known+n, min(least, n)
 		}
 	}
-	known := sumOf(demands)
 	scale := min(all/known, 1)
 	unknown, size := max(all-known, 0), 0.0
 	if unknown > 0 {
-		count := 1.0
-		if len(demands) > 0 {
-			count = math.Ceil(unknown / slices.Min(demands))
-		}
+		// A class whose count has nearly decayed does not say how large the unknown ones are.
+		count := max(math.Ceil(unknown/max(least, forgetCount)), 1)
 		size = unknown / count
-		demands = append(demands, slices.Repeat([]float64{size}, int(count))...)
+		demands = append(demands, demand{size, count})
 	}
 	level := fairLevel(demands, allowed/scale)
 	if n, ok := classes[of]; ok {
@@ -83,23 +86,23 @@
 	return 0
 }
 
-// fairLevel returns the level up to which each demand is met if all share a capacity max-min fairly, and infinity if the capacity meets all of them.
-func fairLevel(demands []float64, capacity float64) float64 {
-	left := capacity
-	for i, d := range slices.Sorted(slices.Values(demands)) {
-		if level := left / float64(len(demands)-i); d > level {
+// fairLevel returns the level up to which each class is met if all share a capacity max-min fairly, and infinity if the capacity meets all of them.
+func fairLevel(demands []demand, capacity float64) float64 {
+	left, classes := capacity, 0.0
+	for _, d := range demands {
+		classes += d.count
+	}
+	for _, d := range slices.SortedFunc(slices.Values(demands), func(a, b demand) int { return cmp.Compare(a.size, b.size) }) {
+		if level := left / classes; d.size > level {
 			return level
 		}
-		left -= d
+		left -= d.size * d.count
+		classes -= d.count
 	}
 	return math.Inf(1)
 }
 
 func total[K comparable](values map[K]float64) float64 {
-	return sumOf(slices.Collect(maps.Values(values)))
-}
-
-func sumOf(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
 		sum += v
--- a/request/admission/share_test.go
+++ b/request/admission/share_test.go
@@ -76,3 +76,16 @@
 		}
 	}
 }
+
+// TestDecayedClassesDoNotSizeTheUnknownOnes guards against a panic, or a list of millions of classes, because the count of a known class has decayed to
+// nearly nothing while others are unknown.
+func TestDecayedClassesDoNotSizeTheUnknownOnes(t *testing.T) {
+	const all, allowed = 100.0, 10.0
+	route, unknown := NewClass("r", 0), NewClass("unknown", 0)
+	for _, left := range []float64{0, 1e-300, 1e-9} {
+		organisations := map[Class]float64{NewClass("decayed", 0): left}
+		if got := admittedShare(map[Class]float64{route: all}, organisations, route, unknown, all, allowed); math.Abs(got-allowed/all) > 0.01 {
+			t.Errorf("with a count of %g, %.2f of an unknown organisation is admitted", left, got)
+		}
+	}
+}
--- a/request/admission/work.go
+++ b/request/admission/work.go
@@ -249,6 +249,10 @@
 	if !isKnown {
 		of = others
 	}
-	level := fairLevel(slices.Collect(maps.Values(demands)), allowed/scale)
+	each := make([]demand, 0, len(demands))
+	for _, n := range demands {
+		each = append(each, demand{n, 1})
+	}
+	level := fairLevel(each, allowed/scale)
 	return min(level/max(demands[of], 1e-9), 1)
 }
