placing: the line of a placement names the subject and the age of the report

The lines could not tell whether an engine over its bound was filled by one subject, or believed to be less busy than it was because its report was old. They now have the subject, the rank of the engine for it, the spread width, and the last report with its age.

--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -105,6 +105,15 @@
 	to.AddInt("fetched", c.FetchedTokens)
 	to.AddInt("reading", c.PrefillTokens)
 	to.AddFloat64("cost", c.Cost)
+	if c.Subject != 0 {
+		to.AddUint32("subject", uint32(c.Subject))
+		to.AddInt("rank", c.Rank)
+		to.AddInt("spreadWidth", c.SpreadWidth)
+	}
+	if !c.ReportedAt.IsZero() {
+		to.AddInt("reportedLoad", c.ReportedLoad)
+		to.AddDuration("reportAgeMs", x.placement.at.Sub(c.ReportedAt))
+	}
 	if x.overload.Order {
 		to.AddUint8("priority", uint8(x.placement.priority))
 	}
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -90,6 +90,14 @@
 		EngineLoad int
 		MeanLoad   float64
 		Cost       float64
+		// Subject is the last shared part of the prompt, or 0, and Rank the rank of the engine for it. SpreadWidth is the number of engines over which
+		// the subject is spread.
+		Subject     PartID
+		Rank        int
+		SpreadWidth int
+		// ReportedLoad is the load that the engine last reported to any instance, at ReportedAt, which is zero if it has reported none.
+		ReportedLoad int
+		ReportedAt   time.Time
 		// Cold says that the request takes a part of the engine's warm-up rate.
 		Cold bool
 	}
@@ -139,7 +147,7 @@
 			continue
 		}
 		c := t.cost(e, s, r, holders, loads[i], now)
-		c.MeanLoad = mean
+		c.MeanLoad, c.Rank, c.SpreadWidth = mean, ranks[i], width
 		// A prompt that is spread goes to the engine with the drawn rank; others cost as much as reading the shared parts again.
 		switch {
 		case width > 1 && ranks[i] != slot:
@@ -347,7 +355,7 @@
 }
 
 func (t *Table) cost(e engines.Engine, s *engineState, r Request, holders prefixHolders, load int, now time.Time) Choice {
-	c := Choice{Engine: e, EngineLoad: load}
+	c := Choice{Engine: e, EngineLoad: load, Subject: subjectOf(r.Parts), ReportedLoad: s.latestLoad, ReportedAt: s.latestLoadAt}
 	slow := 1.0
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < slownessTTL {
 		slow = max(s.report.Slowness, 1)
@@ -418,7 +426,7 @@
 	if len(parts) < 2 {
 		return make([]int, len(list))
 	}
-	key := strconv.FormatUint(uint64(parts[len(parts)-2].ID), 16)
+	key := strconv.FormatUint(uint64(subjectOf(parts)), 16)
 	candidates := rank.EqualWeights(list, func(e engines.Engine) string { return string(e.ID) })
 	ranks := make([]int, len(list))
 	for position, i := range rank.Order(key, candidates, len(candidates)) {
@@ -427,6 +435,14 @@
 	return ranks
 }
 
+// subjectOf returns the last part of a prompt that other requests share, or 0.
+func subjectOf(parts []Part) PartID {
+	if len(parts) < 2 {
+		return 0
+	}
+	return parts[len(parts)-2].ID
+}
+
 func totalTokens(parts []Part) int {
 	n := 0
 	for _, p := range parts {
