placing: an old report gives way to the usual load of its engine

Cause: a report is some 1.1 s old when it is used, and its weight falls to 1/e in half a second. What replaced it was the mean of all engines. The class is a decision on counts that are a heartbeat old. This choice needs no newer ones: the excess of an engine over the mean of all, averaged over its reports of some seconds, is added to the usual load. Loads are no longer rounded, which made a mean of 1.4 one of 1.0.

Evidence: TestShortAnswersKeepLoadBound, 62 instances with answers of 60 ms and a few long ones, 3 in 100 allowed: 5.9 and 4.3 in 100 before, 2.4 and 1.4 after.

--- a/connection/forward/report.go
+++ b/connection/forward/report.go
@@ -99,7 +99,7 @@
 func (x *exchange) addPlacement(to zapcore.ObjectEncoder) {
 	c := x.placement.choice
 	to.AddString("engine", string(c.Engine.ID))
-	to.AddInt("load", c.EngineLoad)
+	to.AddFloat64("load", c.EngineLoad)
 	to.AddFloat64("mean", c.MeanLoad)
 	to.AddInt("cached", c.CachedTokens)
 	to.AddInt("fetched", c.FetchedTokens)
--- a/process/entry/loads_test.go
+++ b/process/entry/loads_test.go
@@ -36,7 +36,7 @@
 	for _, tt := range []struct {
 		name string
 		then heartbeat.Message
-		want int
+		want float64
 	}{
 		{"no loads in the next message", message, requests},
 		{"no requests in the next message", idle, 0},
@@ -55,7 +55,7 @@
 			}
 			placed.End()
 			if choice.EngineLoad != tt.want {
-				t.Errorf("the engine counts as running %d requests, want %d", choice.EngineLoad, tt.want)
+				t.Errorf("the engine counts as running %g requests, want %g", choice.EngineLoad, tt.want)
 			}
 		})
 	}
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -86,8 +86,8 @@
 		SourceGuessed bool
 		// PrefillTokens is the number of tokens that the engine has to read before the first token of the answer.
 		PrefillTokens int
-		// EngineLoad is the number of requests at the engine, and MeanLoad the mean over the engines of its service.
-		EngineLoad int
+		// EngineLoad is the estimated number of requests at the engine, and MeanLoad the mean over the engines of its service.
+		EngineLoad float64
 		MeanLoad   float64
 		Cost       float64
 		// Subject is the last shared part of the prompt, or 0, and Rank the rank of the engine for it. SpreadWidth is the number of engines over which
@@ -156,7 +156,7 @@
 			c.Cost += rankPenaltyTokens * float64(ranks[i])
 		}
 		tier := withinBound
-		if float64(loads[i]) > limit || (room == toleratedRoom && !crowded) {
+		if loads[i] > limit || (room == toleratedRoom && !crowded) {
 			tier = overBound
 		}
 		if now.Before(s.backoffUntil) {
@@ -208,14 +208,14 @@
 }
 
 // crowding returns the usual load of the engines, and whether those without a limit together are over the load bound.
-func (t *Table) crowding(states []*engineState, loads []int, mean float64, now time.Time) (usual float64, crowded bool) {
+func (t *Table) crowding(states []*engineState, loads []float64, mean float64, now time.Time) (usual float64, crowded bool) {
 	// Engines without a limit take what exceeds those of the others, so their mean is the usual load.
 	usual = max(mean, meanLoadOf(states, loads, func(s *engineState) bool { return !t.isLimited(s, now) }))
 	return usual, usual > t.policy.LoadBound*mean+loadAllowance
 }
 
 // isFull reports whether all slots of an engine with that load are in use, as far as their number is known.
-func isFull(e engines.Engine, load int) bool { return e.Slots > 0 && load >= e.Slots }
+func isFull(e engines.Engine, load float64) bool { return e.Slots > 0 && load >= float64(e.Slots) }
 
 func (t *Table) statesOf(list []engines.Engine) []*engineState {
 	states := make([]*engineState, len(list))
@@ -304,28 +304,29 @@
 }
 
 // loads returns the estimated number of requests at each engine and their mean. The older a reported load is, the less it says about
-// the current one, so its weight shifts to this instance's own requests there and the usual number of those of others.
-func (t *Table) loads(list []engines.Engine, states []*engineState, r Request, now time.Time) ([]int, float64) {
+// the current one, so its weight shifts to this instance's own requests there and the usual number of those of others at that engine.
+func (t *Table) loads(list []engines.Engine, states []*engineState, r Request, now time.Time) ([]float64, float64) {
 	usualOfOthers := t.usualLoad(r, len(list), now)
+	meanReported := meanReport(states, now)
 	counts, reporting := t.remoteCounts(now)
-	loads := make([]int, len(list))
-	sum := 0
+	loads := make([]float64, len(list))
+	sum := 0.0
 	for i, e := range list {
 		s := states[i]
 		if now.Sub(s.latestLoadAt) >= reportTTL {
-			loads[i] = s.running + int(math.Round(remoteLoad(counts[e.Key], reporting, r.Instances-1, usualOfOthers)))
+			loads[i] = float64(s.running) + remoteLoad(counts[e.Key], reporting, r.Instances-1, usualOfOthers)
 		} else {
-			usual := usualOfOthers + float64(s.running)
+			usual := max(usualOfOthers+s.reports.excess(meanReported, now), 0) + float64(s.running)
 			if t.isLimited(s, now) {
 				// Its load does not rise with those of the engines that take what exceeds its limit.
 				usual = min(usual, float64(s.latestLoad))
 			}
 			w := s.latestLoadWeight(now)
-			loads[i] = int(math.Round(w*float64(s.latestLoad+s.sentSinceLatest) + (1-w)*usual))
+			loads[i] = w*float64(s.latestLoad+s.sentSinceLatest) + (1-w)*usual
 		}
 		sum += loads[i]
 	}
-	return loads, float64(sum) / float64(max(len(list), 1))
+	return loads, sum / float64(max(len(list), 1))
 }
 
 // remoteCounts returns the sums of the counts that other instances have sent recently, by engine, and the number of these instances.
@@ -354,7 +355,7 @@
 	return (scaled*float64(reporting) + usual*weight) / (float64(reporting) + weight)
 }
 
-func (t *Table) cost(e engines.Engine, s *engineState, r Request, holders prefixHolders, load int, now time.Time) Choice {
+func (t *Table) cost(e engines.Engine, s *engineState, r Request, holders prefixHolders, load float64, now time.Time) Choice {
 	c := Choice{Engine: e, EngineLoad: load, Subject: subjectOf(r.Parts), ReportedLoad: s.latestLoad, ReportedAt: s.latestLoadAt}
 	slow := 1.0
 	if s.report.Slowness > 0 && now.Sub(s.reportedAt) < slownessTTL {
@@ -366,7 +367,7 @@
 	}
 	failing := max(s.decayedFailureShare(now)-failureTolerance, 0)
 	if len(r.Parts) == 0 {
-		c.Cost = slow*float64(load) + failurePenaltyLoad*s.decayedFailureShare(now) + domainPenaltyLoad*otherDomain + jitterLoad*rand.Float64()
+		c.Cost = slow*load + failurePenaltyLoad*s.decayedFailureShare(now) + domainPenaltyLoad*otherDomain + jitterLoad*rand.Float64()
 		return c
 	}
 	c.CachedTokens = holders.tokens[e.Key]
@@ -374,7 +375,7 @@
 		c.Source, c.FetchedTokens = holders.longestHolder, holders.longestTokens()-c.CachedTokens
 	}
 	c.PrefillTokens = totalTokens(r.Parts) - c.CachedTokens - c.FetchedTokens + s.prefillTokens
-	work := float64(c.PrefillTokens) + fetchShare*float64(c.FetchedTokens) + loadPenaltyTokens*float64(load)
+	work := float64(c.PrefillTokens) + fetchShare*float64(c.FetchedTokens) + loadPenaltyTokens*load
 	c.Cost = slow*work + failurePenaltyTokens*failing + domainPenaltyTokens*otherDomain + jitterTokens*rand.Float64()
 	return c
 }
--- a/request/placing/limit.go
+++ b/request/placing/limit.go
@@ -155,15 +155,15 @@
 }
 
 // meanLoadOf returns the mean load of the engines for which counts returns true, or 0 if it does for none.
-func meanLoadOf(states []*engineState, loads []int, counts func(*engineState) bool) float64 {
-	sum, count := 0, 0
+func meanLoadOf(states []*engineState, loads []float64, counts func(*engineState) bool) float64 {
+	sum, count := 0.0, 0
 	for i, s := range states {
 		if counts(s) {
 			sum += loads[i]
 			count++
 		}
 	}
-	return float64(sum) / float64(max(count, 1))
+	return sum / float64(max(count, 1))
 }
 
 // inForce reports whether the engine has a limit.
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -29,6 +30,10 @@
 		hotFrom        time.Duration
 		subjects       int
 		generationTime time.Duration
+		// longShare is the share of subjects with small prompts whose answers take longTime, and skew the exponent that makes low subjects frequent.
+		longShare float64
+		longTime  time.Duration
+		skew      float64
 		// cold makes the arrivals of the first five seconds count, in which no engine has read a prompt before.
 		cold bool
 		// slowestFactor is the duration of work at the slowest engine relative to the fastest; engines do not report their slowness.
@@ -46,6 +51,8 @@
 		// over is the share of arrivals at engines that run more than factor times the mean load plus three. cached is the share of prompts held by the
 		// chosen engine or by its source, among those that any engine had read.
 		over, cached float64
+		// overWithItself is the same share with the arriving request among those that the engine runs.
+		overWithItself float64
 		// readTokens is what the engines read, and inTime the share of answers that began within firstTokenTarget.
 		readTokens, inTime float64
 	}
@@ -95,7 +102,7 @@
 	readUntil := make(map[ident.Engine]time.Time)
 	var answers []firstToken
 	var surgeMessages []surgeMessage
-	sent, arrivals, above, hits, prompts, readTokens, inTime := 0, 0, 0, 0, 0, 0, 0
+	sent, arrivals, above, aboveWithItself, hits, prompts, readTokens, inTime := 0, 0, 0, 0, 0, 0, 0, 0
 	step := time.Duration(float64(time.Second) / w.requestsPerSecond)
 	nextHeartbeat, now := start, start
 	sendSurges := func(from *Table) {
@@ -108,7 +115,13 @@
 	arrive := func() {
 		sent++
 		number := draws.IntN(w.subjects)
-		subject, sizes := fmt.Sprint("s", number), []int{2500, 6000, 500}
+		if w.skew > 0 {
+			number = int(math.Pow(draws.Float64(), w.skew) * float64(w.subjects))
+		}
+		subject, sizes, generationTime := fmt.Sprint("s", number), []int{2500, 6000, 500}, w.generationTime
+		if w.longShare > 0 && number%int(1/w.longShare) == 0 {
+			sizes, generationTime = []int{100, 500, 110}, w.longTime
+		}
 		if float64(number) < w.smallShare*float64(w.subjects) {
 			sizes = []int{300, 400, 100}
 		}
@@ -135,6 +148,9 @@
 			if float64(load) > factor*mean+3 {
 				above++
 			}
+			if float64(load+1) > factor*mean+3 {
+				aboveWithItself++
+			}
 		}
 		slow := slowness[choice.Engine.ID]
 		unread := totalTokens(parts) - choice.FetchedTokens
@@ -158,7 +174,7 @@
 				inTime++
 			}
 		}
-		duration := time.Duration((0.5 + draws.Float64()) * slow * float64(w.generationTime))
+		duration := time.Duration((0.5 + draws.Float64()) * slow * float64(generationTime))
 		running = append(running, completion{at: first.Add(duration), engine: choice.Engine.ID, placement: placement})
 		answers = append(answers, firstToken{at: first, table: table, engine: choice.Engine, placement: placement})
 	}
@@ -208,7 +224,7 @@
 			}
 		}
 	}
-	return outcome{over: float64(above) / float64(arrivals), cached: float64(hits) / float64(prompts), readTokens: float64(readTokens), inTime: float64(inTime) / float64(arrivals)}
+	return outcome{over: float64(above) / float64(arrivals), overWithItself: float64(aboveWithItself) / float64(arrivals), cached: float64(hits) / float64(prompts), readTokens: float64(readTokens), inTime: float64(inTime) / float64(arrivals)}
 }
 
 // counted reports whether an arrival at a time is part of the result.
@@ -263,6 +279,24 @@
 	}
 }
 
+// TestShortAnswersKeepLoadBound guards against engines that most prompts prefer and that look like the others as soon as their last report is old: in a
+// large fleet an answer ends before the instances learn of it.
+func TestShortAnswersKeepLoadBound(t *testing.T) {
+	if testing.Short() {
+		t.Skip("simulates too many requests for the race detector")
+	}
+	for _, w := range []workload{
+		{instances: 62, engines: 60, requestsPerSecond: 420, subjects: 150, skew: 2, generationTime: 60 * time.Millisecond, longShare: 0.125, longTime: 1100 * time.Millisecond, slowestFactor: 1.5, burstSize: 3},
+		{instances: 62, engines: 60, requestsPerSecond: 420, subjects: 300, skew: 2.5, generationTime: 60 * time.Millisecond, longShare: 0.125, longTime: 1100 * time.Millisecond, slowestFactor: 2.5, burstSize: 3},
+	} {
+		o := w.simulate(t, 2, 7)
+		t.Logf("%d subjects: %.2f in 100 above the bound, %.2f with the request itself, %.0f k tokens read", w.subjects, 100*o.over, 100*o.overWithItself, o.readTokens/1e3)
+		if o.overWithItself > maxOver {
+			t.Errorf("%.1f in 100 arrivals above the bound", 100*o.overWithItself)
+		}
+	}
+}
+
 // TestSmallPromptsMoveFirst guards against engines that read large prompts again because they were near the load bound for a moment, while small prompts,
 // which cost little elsewhere, stayed: the answers behind them began late.
 func TestSmallPromptsMoveFirst(t *testing.T) {
--- a/request/placing/notice_test.go
+++ b/request/placing/notice_test.go
@@ -87,7 +87,7 @@
 		parts := prompt("a", "b")
 		table.MergeHolders([]Holder{{Part: parts[0].ID, Engine: on[0].Key, At: start}})
 		if c, _ := choose(t, table, all, Request{Service: llm, Parts: parts, Instances: 1}, start); c.Engine.Key != on[1].Key {
-			t.Errorf("%+v: the engine with load %d is chosen, mean %.1f", notice, c.EngineLoad, c.MeanLoad)
+			t.Errorf("%+v: the engine with load %.1f is chosen, mean %.1f", notice, c.EngineLoad, c.MeanLoad)
 		}
 	}
 }
@@ -103,6 +103,6 @@
 		}
 	}
 	if c, _ := choose(t, table, all, Request{Service: llm, Parts: prompt("a", "b"), Instances: 1}, start.Add(time.Second)); c.Engine.Key != first.Key {
-		t.Errorf("after the pause the idle engine is not chosen, but one with load %d", c.EngineLoad)
+		t.Errorf("after the pause the idle engine is not chosen, but one with load %.1f", c.EngineLoad)
 	}
 }
--- a/request/placing/table.go
+++ b/request/placing/table.go
@@ -123,10 +123,12 @@
 		latestLoad      int
 		latestLoadAt    time.Time
 		sentSinceLatest int
-		failureShare    float64
-		failureShareAt  time.Time
-		backoff         time.Duration
-		backoffUntil    time.Time
+		// reports are the loads that the engine reported to any instance.
+		reports        reportedLoads
+		failureShare   float64
+		failureShareAt time.Time
+		backoff        time.Duration
+		backoffUntil   time.Time
 		// backoffLocal reports that this instance itself could not reach the engine.
 		backoffLocal bool
 		answeredAt   time.Time
@@ -398,6 +400,9 @@
 }
 
 func (s *engineState) setLatestLoad(requests int, at time.Time) {
+	if at.Sub(s.latestLoadAt) > duplicateWindow {
+		s.reports.add(requests, at)
+	}
 	s.latestLoad, s.latestLoadAt, s.sentSinceLatest = requests, at, 0
 }
 
