placing: small prompts even out small differences in load

Cause: one soft limit for all prompts. A prompt with fewer shared tokens than the mean now avoids an engine from half a request above the usual load on.

--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -131,7 +131,7 @@
 	usual = max(usual, meanLoadOf(states, loads, func(s *engineState) bool { return s.accepts(now) }))
 	limit := t.policy.LoadBound*usual + loadAllowance
 	// Other instances decide on the same loads. Each draws its own limit, so that the probability of avoiding an engine grows with its load.
-	limit -= t.avoidance(shared) * max(limit-softBound*usual-softAllowance, 0)
+	limit -= t.avoidance(shared) * max(limit-t.softLimit(shared, usual), 0)
 	best := Choice{Cost: math.Inf(1)}
 	bestTier := noTier
 	ranks := preferenceRanks(list, r.Parts)
--- a/request/placing/load_test.go
+++ b/request/placing/load_test.go
@@ -288,6 +288,7 @@
 	for _, w := range []workload{
 		{instances: 62, engines: 60, requestsPerSecond: 420, subjects: 150, skew: 2, generationTime: 60 * time.Millisecond, longShare: 0.125, longTime: 1100 * time.Millisecond, slowestFactor: 1.5, burstSize: 3},
 		{instances: 62, engines: 60, requestsPerSecond: 420, subjects: 300, skew: 2.5, generationTime: 60 * time.Millisecond, longShare: 0.125, longTime: 1100 * time.Millisecond, slowestFactor: 2.5, burstSize: 3},
+		{instances: 62, engines: 60, requestsPerSecond: 300, subjects: 150, skew: 2, generationTime: 60 * time.Millisecond, longShare: 0.125, longTime: 2 * time.Second, slowestFactor: 1.5, burstSize: 4},
 	} {
 		o := w.simulate(t, 2, 7)
 		t.Logf("%d subjects: %.2f in 100 above the bound, %.2f with the request itself, %.0f k tokens read", w.subjects, 100*o.over, 100*o.overWithItself, o.readTokens/1e3)
