placing: a stream goes on only at the version of software that began it

Engines of several versions of their software may serve side by side, and what two versions write does not fit together.

Cause: the version in an engine's entry was decoded and dropped. The list of engines now has it, and a request that continues a stream is offered to engines of that version only; an engine is given up for its silence only if one of these can go on. An engine that does not name its version continues no other's stream, unless none of the service names one. With one version nothing changes.

This is one of two ways: a stream that a client takes up at an instance (Resumes) is not covered yet.

--- a/connection/forward/alternatives.go
+++ b/connection/forward/alternatives.go
@@ -20,7 +20,11 @@
 }
 
 func (x *exchange) placingRequest(s Snapshot) placing.Request {
-	return placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: s.Instances, Tried: x.tried, Evacuated: s.Evacuated}
+	r := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: s.Instances, Tried: x.tried, Evacuated: s.Evacuated}
+	if x.stream != nil {
+		r.Continues = &x.stream.version
+	}
+	return r
 }
 
 // returnToSilent lets the next attempt go to the engines that were given up for their silence, and to no others. It returns false if there are none. The
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -117,7 +117,7 @@
 		return nil, &streamEnd{result: s.failStream(errors.New("the engine repeated an event"), s.engine)}
 	}
 	if s.stream == nil {
-		s.beginStream(s.resp)
+		s.beginStream(s.resp, s.engine)
 	}
 	if id, ok := eventID(event); ok {
 		s.stream.last = id
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -29,6 +29,8 @@
 		// status and mediaType are those of the answer that began the stream.
 		status    int
 		mediaType string
+		// version is that of the engine that began the stream.
+		version engines.Version
 		// last is the id of the last event received whole. All events up to it are sent to the caller before another engine resumes after it.
 		last string
 		// lastAt is when the last event was sent to the caller.
@@ -102,8 +104,8 @@
 }
 
 // beginStream writes the header of a streamed answer.
-func (x *exchange) beginStream(resp *upstream.Response) {
-	x.stream = &stream{control: http.NewResponseController(x.w), status: resp.Status, mediaType: mediaTypeOf(resp)}
+func (x *exchange) beginStream(resp *upstream.Response, e engines.Engine) {
+	x.stream = &stream{control: http.NewResponseController(x.w), status: resp.Status, mediaType: mediaTypeOf(resp), version: e.Version}
 	copyAnswerHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.Status)
 }
--- a/request/placing/choose.go
+++ b/request/placing/choose.go
@@ -72,6 +72,8 @@
 		Tried []ident.Engine
 		// Evacuated are the failure domains whose engines get no requests.
 		Evacuated *evacuation.Set
+		// Continues is the version of the engine that began the stream which the request continues, or nil.
+		Continues *engines.Version
 	}
 
 	// Choice is a chosen engine with the figures behind the choice.
--- a/request/placing/evacuated.go
+++ b/request/placing/evacuated.go
@@ -13,9 +13,9 @@
 	return len(list) > 0 && !slices.ContainsFunc(list, func(e engines.Engine) bool { return !r.Evacuated.Contains(e.Domain) })
 }
 
-// candidates returns the engines of the request's service whose failure domains are not evacuated.
+// candidates returns the engines of the request's service whose failure domains are not evacuated and that can continue its stream.
 func (r Request) candidates(all *engines.List) []engines.Engine {
-	return r.Evacuated.Remaining(all.OfService(r.Service))
+	return r.continuing(all, r.Evacuated.Remaining(all.OfService(r.Service)))
 }
 
 // mayHold reports whether an engine that read a part of a prompt at a time may be used for it: its failure domain is not evacuated and was not since,
--- a/version/engines/engines.go
+++ b/version/engines/engines.go
@@ -12,12 +12,16 @@
 	// Key identifies one incarnation of an engine in messages between instances. It is a 32-bit hash of ID and StartedAtMs.
 	Key uint32
 
+	// Version is the version of an engine's software, or empty if it is not known.
+	Version string
+
 	// Engine is one incarnation of an engine that serves a service.
 	Engine struct {
 		ID      ident.Engine
 		Service ident.Service
 		Address string
 		Domain  ident.Domain
+		Version Version
 		// Slots is the number of requests that the engine runs at a time, or 0 if it is not known.
 		Slots int
 		// Draining engines take no new requests.
@@ -59,6 +63,16 @@
 // OfService returns the engines of a service that take new requests.
 func (l *List) OfService(s ident.Service) []Engine { return l.services[s] }
 
+// AreUnversioned reports whether none of the engines of a service, draining ones included, names its version.
+func (l *List) AreUnversioned(s ident.Service) bool {
+	for _, e := range l.byKey {
+		if e.Service == s && e.Version != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // Get returns the engine with that key, draining or not, and false if there is none.
 func (l *List) Get(k Key) (Engine, bool) {
 	e, ok := l.byKey[k]
