entry: a failing test of streams that are taken up at another version

A client whose stream broke off takes it up at any instance and names the attempt that began it in Resumes.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -62,6 +62,10 @@
 	patientPath = "/patient/"
 	// slotsPrefix begins the ids of engines that register overloadSlots slots.
 	slotsPrefix = "slots-"
+	// resumablePath is the path of a route to streams that may be resumed, and versionPrefix begins the ids of engines that name the version before their
+	// first hyphen.
+	resumablePath = "/resumable/"
+	versionPrefix = "version"
 	// evacuatedPrefix begins the keys of evacuated failure domains, and domainPrefix the ids of engines in the failure domain evacuatedDomain.
 	evacuatedPrefix = "evacuated/"
 	domainPrefix    = "in-d-"
@@ -132,11 +136,13 @@
 	quiet.Name, quiet.PathPrefix = "quiet", quietPath
 	patient := quiet
 	patient.Name, patient.PathPrefix, patient.Timeout, patient.TargetFirstByte = "patient", patientPath, time.Minute, 0
+	resumable := patient
+	resumable.Name, resumable.PathPrefix, resumable.Kind, resumable.Resumable, resumable.MaxEngines = "resumable", resumablePath, routing.Stream, true, 2
 	access := routing.Access{Organisations: []routing.Organisation{{Name: "museum", Keys: c.Keys}, {Name: "light", Keys: []string{lightKey}}}}
 	if c.Access != nil {
 		access = *c.Access
 	}
-	return routing.New(routing.Content{Version: c.Version, Routes: []routing.Route{route, many, busy, quiet, patient}, Access: access, Services: []routing.Service{{Name: "s", MaxConnections: c.MaxConns}}}), nil
+	return routing.New(routing.Content{Version: c.Version, Routes: []routing.Route{route, many, busy, quiet, patient, resumable}, Access: access, Services: []routing.Service{{Name: "s", MaxConnections: c.MaxConns}}}), nil
 }
 
 func (testDecoder) Engine(key string, value []byte) (engines.Engine, error) {
@@ -158,7 +164,11 @@
 	if strings.HasPrefix(key, "engines/"+domainPrefix) {
 		domain = evacuatedDomain
 	}
-	return engines.Engine{ID: ident.Engine(key), Service: "s", Address: address, Domain: domain, Slots: slots, Draining: draining, StartedAtMs: startedAtMs, Sequence: sequence}, nil
+	version, _, versioned := strings.Cut(strings.TrimPrefix(key, "engines/"), "-")
+	if !versioned || !strings.HasPrefix(version, versionPrefix) {
+		version = ""
+	}
+	return engines.Engine{ID: ident.Engine(key), Service: "s", Version: engines.Version(version), Address: address, Domain: domain, Slots: slots, Draining: draining, StartedAtMs: startedAtMs, Sequence: sequence}, nil
 }
 
 // Evacuation decodes a value of invalidValue as one that cannot be read. A key without a domain is invalid.
--- /dev/null
+++ b/process/entry/versions_test.go
@@ -0,0 +1,117 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// TestTakenUpStreamStaysAtItsVersion guards against streams whose first events are of one software version and whose rest, after the client has taken them
+// up, is of another one.
+func TestTakenUpStreamStaysAtItsVersion(t *testing.T) {
+	const streams = 12
+	restartAll := func(f *fleet) {
+		f.haltAll()
+		for i := range f.nodes {
+			f.launch(i, false)
+		}
+		for i := range f.nodes {
+			f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
+		}
+	}
+	tests := []struct {
+		name     string
+		versions []string
+		// between happens between the beginning and the take-up at instance, and goOn is the least number of streams that go on.
+		between  func(f *fleet)
+		instance int
+		goOn     int
+	}{
+		{"same instance", []string{"1", "2"}, func(*fleet) {}, 0, streams / 2},
+		{"other instance", []string{"1", "2"}, func(*fleet) {}, 1, streams / 2},
+		{"all instances started again", []string{"1", "2"}, restartAll, 1, streams / 2},
+		{"one version, all instances started again", []string{"1"}, restartAll, 1, streams},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3)
+			for _, version := range tt.versions {
+				for n := range 2 {
+					f.addEngine(fmt.Sprint(versionPrefix, version, "-", n), streamUntilTakenUp(version))
+				}
+			}
+			f.store.Delete("engines/e1")
+			f.eventually(func() bool { _, body := f.stream(0, "probe", ""); return strings.Contains(body, "data") }, "no engine is used")
+			began := make([]string, streams)
+			for i := range began {
+				_, began[i] = f.stream(0, fmt.Sprint("began-", i), "")
+			}
+			tt.between(f)
+			goOn, joined := 0, 0
+			for i, first := range began {
+				status, rest := f.stream(tt.instance, fmt.Sprint("taken-up-", i), fmt.Sprint("began-", i))
+				if status != http.StatusOK {
+					continue
+				}
+				goOn++
+				if version(rest) != version(first) {
+					joined++
+				}
+			}
+			if joined > 0 || goOn < tt.goOn {
+				t.Errorf("%d of %d streams went on, %d of them at another version", goOn, streams, joined)
+			}
+		})
+	}
+}
+
+// streamUntilTakenUp returns an engine that breaks off each stream after an event with its version, unless a client has taken the stream up.
+func streamUntilTakenUp(version string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		w.Header().Set("X-Seal", "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		id := 1
+		if r.Header.Get("X-Last") != "" {
+			id = 2
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, version)
+		if r.Header.Get("Resumes") == "" {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// version returns the data of the first event of a stream.
+func version(stream string) string {
+	_, data, _ := strings.Cut(stream, "data: ")
+	data, _, _ = strings.Cut(data, "\n")
+	return data
+}
+
+// stream asks an instance for a stream, or takes up the one that the request resumes began. It returns the status and what arrived of the body.
+func (f *fleet) stream(i int, id, resumes string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[i].settings.Instance.Callers.String()+resumablePath+id, strings.NewReader(id))
+	if err != nil {
+		f.t.Error(err)
+		return 0, ""
+	}
+	req.Host = "h.example"
+	req.Header.Set("Authorization", keyHeader+oneKey)
+	req.Header.Set("X-Request", id)
+	if resumes != "" {
+		req.Header.Set("Resumes", resumes)
+		req.Header.Set("X-Last", "1")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
