--- a/connection/forward/forward_test.go
+++ b/connection/forward/forward_test.go
@@ -307,11 +307,13 @@
 // TestRejectedRequestIsNotSentOnAfterItsCallerLeft guards against offering a request that an engine has rejected to another one for nobody.
 func TestRejectedRequestIsNotSentOnAfterItsCallerLeft(t *testing.T) {
 	for _, kind := range []routing.Kind{routing.NonIdempotent, routing.Idempotent, routing.Stream} {
+		ctx, leave := context.WithCancel(t.Context())
 		f := newFixture(t, routing.Route{Kind: kind, MaxEngines: 3}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			leave()
 			time.Sleep(150 * time.Millisecond)
 			writeNotRun(w)
 		})
-		_, _, err := f.send(t, leaveAfter(t, 50*time.Millisecond))
+		_, _, err := f.send(t, func(r *http.Request) { *r = *r.WithContext(ctx) })
 		if err == nil {
 			t.Fatal("the caller did not disconnect")
 		}
