entry: a stream that is taken up goes on at the version that began it

A caller whose stream broke off takes it up at any instance, with the id of the attempt that began it in Resumes. The answer was 200 and ran to its end, but the rest came from any version, with nothing to show it.

Cause: no instance read Resumes, so none knew at which version a stream began; a fact was in a header that no code reads. Instances remember the versions of their own streams now. While a service has, or had in the last minute, engines of several versions, two of six collecting instances are told of each stream before its first event is passed on, a take-up asks them, and they store what they collect four times a second, so that instances that start after all were killed read it. Readers drop these entries before the replica. What is not known, or not certain, is refused. A service with one version sends and writes nothing for it.

--- a/connection/forward/alternatives.go
+++ b/connection/forward/alternatives.go
@@ -21,7 +21,10 @@
 
 func (x *exchange) placingRequest(s Snapshot) placing.Request {
 	r := placing.Request{Service: x.service, Parts: x.parts, Domain: x.Domain, Instances: s.Instances, Tried: x.tried, Evacuated: s.Evacuated}
-	if x.stream != nil {
+	switch {
+	case x.continues != nil:
+		r.Continues = x.continues
+	case x.stream != nil:
 		r.Continues = &x.stream.version
 	}
 	return r
--- a/connection/forward/dependencies.go
+++ b/connection/forward/dependencies.go
@@ -36,8 +36,10 @@
 		// ColdFor names the field in an engine's health answers that says for how many milliseconds it stays cold.
 		ColdFor string
 		// PromptParts names the field that lists the parts of the prompt and their token counts.
-		PromptParts  string
-		LastEventID  string
+		PromptParts string
+		LastEventID string
+		// Resumes names the field with the id of the request that brought the first event of the stream which the caller takes up.
+		Resumes      string
 		Organisation string
 		// ExpectedEngine names the field with the id of the engine that the request is addressed to. Another engine that has
 		// taken over the address answers 421.
@@ -111,8 +113,10 @@
 		Holds *placing.Holds
 		// Overload returns the switches in force; nil means that all are off.
 		Overload func() Overload
-		Metrics  *metrics.Registry
-		Log      *zap.Logger
+		// Streams knows at which versions streams began; nil means that engines have no versions.
+		Streams StreamVersions
+		Metrics *metrics.Registry
+		Log     *zap.Logger
 		// Stop returns how the instance is stopping, or the zero value.
 		Stop func() Stop
 		// Memory bounds the bytes of callers and engines that are kept: requests, answers that are not relayed as they arrive, and events.
@@ -121,6 +125,17 @@
 		Ending context.Context
 	}
 
+	// StreamVersions knows at which software versions of engines the streams of the fleet began.
+	StreamVersions interface {
+		// Began records that a request began a stream, or went on with one, at an engine of a version.
+		Began(s ident.Service, org ident.Organisation, r ident.Request, v engines.Version)
+		// VersionOf returns the version at which the request r began a stream. It returns false if that is not known, or if any version may continue
+		// the stream.
+		VersionOf(ctx context.Context, s ident.Service, org ident.Organisation, r ident.Request) (engines.Version, bool)
+		// AreSeveral reports whether the service has or lately had engines of several versions.
+		AreSeveral(s ident.Service) bool
+	}
+
 	// Overload switches what is done about more requests than engines can answer in time.
 	Overload struct {
 		// Order tells engines the order of requests.
--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -121,6 +121,8 @@
 		withoutMemory []ident.Engine
 		// usedUp are the engines to which all connections of this instance were in use at the last choice.
 		usedUp []ident.Engine
+		// continues is the version at which the stream began that the request takes up, or nil if it takes up none or any version may go on.
+		continues *engines.Version
 		// stream is the state of a streamed answer, or nil before its header was written to the caller.
 		stream *stream
 		// queuedBytes is the most that was queued for the caller of a stream while writes to it were blocked.
@@ -151,7 +153,12 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(deadlineGrace))
 	defer cancel()
 	defer context.AfterFunc(x.Ending, cancel)()
-	for {
+	mayRun := x.takeUp(ctx)
+	if !mayRun {
+		x.verdict = reasonUnknownVersion
+		x.Metrics.Add("takeUpsRefused", 1)
+	}
+	for mayRun {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
 		if x.sends >= maxSends {
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -106,6 +106,9 @@
 // beginStream writes the header of a streamed answer.
 func (x *exchange) beginStream(resp *upstream.Response, e engines.Engine) {
 	x.stream = &stream{control: http.NewResponseController(x.w), status: resp.Status, mediaType: mediaTypeOf(resp), version: e.Version}
+	if x.Streams != nil && x.route.Resumable {
+		x.Streams.Began(x.service, x.org, x.id, e.Version)
+	}
 	copyAnswerHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.Status)
 }
--- /dev/null
+++ b/connection/forward/takeup.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/vanillaroute/vanillaroute/ident"
+)
+
+// reasonUnknownVersion is why a stream is not taken up. Another version than that which began it would write what does not fit.
+const reasonUnknownVersion = "it is not known at which software version the stream began"
+
+// takeUp prepares a request that takes up a stream which an earlier attempt of its caller began: only engines of the same version may go on. It returns
+// false if the version is not known.
+func (x *exchange) takeUp(ctx context.Context) bool {
+	resumes := ident.Request(x.r.Header.Get(x.Names.Resumes))
+	if x.Streams == nil || !x.route.Resumable || (resumes == "" && x.r.Header.Get(x.Names.LastEventID) == "") {
+		return true
+	}
+	if version, ok := x.Streams.VersionOf(ctx, x.service, x.org, resumes); ok {
+		x.continues = &version
+		return true
+	}
+	return !x.Streams.AreSeveral(x.service)
+}
--- a/connection/heartbeat/heartbeat.go
+++ b/connection/heartbeat/heartbeat.go
@@ -203,6 +203,8 @@
 		tcp     *net.TCPListener
 		limits  Limits
 		fetches *fetches
+		// onStreams is called for each StreamMessage, or nil.
+		onStreams func(from string, m StreamMessage)
 	}
 
 	// Limits bound what other hosts can make a Conn keep.
@@ -356,6 +358,12 @@
 			pause.For(ctx, failureBackoff)
 			continue
 		}
+		if handled, err := c.receiveStreams(buffer[:n], from); handled {
+			if err != nil {
+				onError(err)
+			}
+			continue
+		}
 		m, err := Decode(buffer[:n])
 		if err != nil {
 			onError(errors.Wrapf(err, "decode heartbeat from %s", from))
--- a/process/entry/engines.go
+++ b/process/entry/engines.go
@@ -43,6 +43,7 @@
 func (n *Instance) listEngines(next *snapshot) {
 	all := n.registry.All()
 	next.engines = engines.NewList(all)
+	n.versions.Update(all, boottime.Now())
 	// Logged after each change of the registered engines.
 	n.log.Info("engines known", zap.Int("ready", next.engines.ReadyCount()), zap.Int("all", len(all)))
 }
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -300,9 +300,9 @@
 
 func (f *fleet) platform(c *memstore.Client) entry.Platform {
 	return entry.Platform{
-		Store: c, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/", Evacuations: evacuatedPrefix, Culprits: "culprits/"},
+		Store: c, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/", Evacuations: evacuatedPrefix, Culprits: "culprits/", Versions: "versions/", Streams: "streams/"},
 		Names: forward.HeaderNames{
-			RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", PromptParts: "X-Parts", LastEventID: "X-Last", Organisation: "X-Organisation",
+			RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", PromptParts: "X-Parts", LastEventID: "X-Last", Resumes: "Resumes", Organisation: "X-Organisation",
 			ExpectedEngine: "X-Expect", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
 			ParseParts: parseParts,
 			ParseLoad:  func(string) (placing.Report, bool) { return placing.Report{}, false },
--- a/process/entry/evidence.go
+++ b/process/entry/evidence.go
@@ -192,14 +192,17 @@
 }
 
 // ranked returns the peer addresses of the live instances, including this one, in an order for a culprit that all instances agree on.
-func (n *Instance) ranked(c suspects.Culprit) []string {
+func (n *Instance) ranked(c suspects.Culprit) []string { return n.rankedFor(c.String()) }
+
+// rankedFor returns the peer addresses of the live instances, including this one, in an order for a key that all instances agree on.
+func (n *Instance) rankedFor(key string) []string {
 	peers := []string{n.self}
 	for _, m := range n.members.Alive(boottime.Now()) {
 		peers = append(peers, m.Peer)
 	}
 	candidates := rank.EqualWeights(peers, func(peer string) string { return peer })
 	ordered := make([]string, 0, len(peers))
-	for _, i := range rank.Order(c.String(), candidates, len(peers)) {
+	for _, i := range rank.Order(key, candidates, len(peers)) {
 		ordered = append(ordered, peers[i])
 	}
 	return ordered
--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/vanillaroute/vanillaroute/request/cost"
 	"github.com/vanillaroute/vanillaroute/request/placing"
 	"github.com/vanillaroute/vanillaroute/request/retries"
+	"github.com/vanillaroute/vanillaroute/request/streams"
 	"github.com/vanillaroute/vanillaroute/request/suspects"
 	"github.com/vanillaroute/vanillaroute/sizelimit"
 	"github.com/vanillaroute/vanillaroute/version/engines"
@@ -60,6 +61,8 @@
 		// of the key is another one than that of revision after, also if the store executes the call late: 0 means that the key does not exist, and
 		// AnyRevision that the change does not matter.
 		PutWithLease(ctx context.Context, key string, value []byte, after ident.Revision, ttl time.Duration) (Lease, error)
+		// PutUnderLease stores a value under a lease that PutWithLease has returned. It fails if the lease has ended.
+		PutUnderLease(ctx context.Context, key string, value []byte, lease string) error
 		// RenewLease extends a lease by its time to live.
 		RenewLease(ctx context.Context, lease string) error
 	}
@@ -99,6 +102,8 @@
 		Evacuations string
 		// Culprits is the prefix of the requests and parts of prompts on which engines crash.
 		Culprits string
+		// Versions is the prefix of the services that have engines of several versions, and Streams that of the streams which began there.
+		Versions, Streams string
 	}
 
 	// Platform holds what differs between platforms: the store, its keys and format, and the HTTP conventions.
@@ -140,6 +145,13 @@
 		crashes       *suspects.Crashes
 		admission     *admission.Controller
 		costs         *cost.Estimator
+		// streams holds the beginnings of streams, and versions those of the engines of services.
+		streams  *streams.Memory
+		versions *streams.Versions
+		// unstored are the beginnings that this instance collects and has not stored yet.
+		unstored streams.Queue
+		// streamsRead is closed once this instance has read the streams in the store.
+		streamsRead chan struct{}
 		// peerBytes bounds the bytes of callers and engines that are kept.
 		peerBytes *sizelimit.Budget
 		// connections bounds the connections of each listener.
@@ -224,11 +236,12 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
-		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), aheadPeers: make(chan peerRevision, maxHints), registry: engines.NewRegistry(),
+		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), streams: streams.NewMemory(), versions: streams.NewVersions(), streamsRead: make(chan struct{}), aheadPeers: make(chan peerRevision, maxHints), registry: engines.NewRegistry(),
 		peerBytes:      sizelimit.NewBudget(peerBytes),
 		arrivedEngines: make(map[ident.Engine]bool), registered: make(map[string]string), roster: members.NewRoster(s.Instance.Peers.String()),
 	}
 	heartbeats.SetLimits(heartbeat.Limits{Fetches: bounds.fetches, Memory: n.peerBytes, OnRefuse: func(r heartbeat.Reason) { n.recordClosed(idle.Reason(r)) }})
+	heartbeats.OnStreams(n.handleStreams)
 	n.settings.Store(&s)
 	n.connections.Store(&bounds)
 	n.stop.Store(&forward.Stop{})
@@ -267,6 +280,8 @@
 	group.Go(func() error { return n.sendSurges(groupCtx) })
 	group.Go(func() error { return n.sendNews(groupCtx) })
 	group.Go(func() error { return n.storeCulprits(groupCtx) })
+	group.Go(func() error { return n.storeVersions(groupCtx) })
+	group.Go(func() error { return n.storeStreams(groupCtx) })
 	group.Go(func() error { return n.followPeers(groupCtx) })
 	group.Go(func() error { return n.readStore(groupCtx) })
 	group.Go(func() error { return n.register(groupCtx) })
@@ -321,7 +336,7 @@
 	}
 	return forward.New(forward.Dependencies{
 		Names: n.platform.Names, Limits: limits, Domain: s.Instance.FailureDomain,
-		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, IsTester: n.isTester, Admission: n.admission, Costs: n.costs, Holds: placing.NewHolds(), Overload: n.overload, Memory: n.peerBytes, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
+		Snapshot: n.currentSnapshot, Table: n.table, Budget: n.retryBudget, Client: n.client, Crashes: n.crashes, IsTester: n.isTester, Admission: n.admission, Costs: n.costs, Holds: placing.NewHolds(), Overload: n.overload, Streams: n, Memory: n.peerBytes, Metrics: n.metrics, Log: n.log, Stop: func() forward.Stop { return *n.stop.Load() }, Ending: n.ending,
 	})
 }
 
--- a/process/entry/snapshot.go
+++ b/process/entry/snapshot.go
@@ -61,6 +61,8 @@
 			enginesChanged = true
 		case strings.HasPrefix(e.Key, n.platform.Keys.Culprits):
 			n.applyCulprit(e)
+		case n.platform.Keys.Versions != "" && strings.HasPrefix(e.Key, n.platform.Keys.Versions):
+			n.versions.Mark(ident.Service(strings.TrimPrefix(e.Key, n.platform.Keys.Versions)), !e.Deleted)
 		case strings.HasPrefix(e.Key, n.platform.Keys.Instances):
 			delete(n.registered, e.Key)
 			instancesChanged = true
--- a/process/entry/storereader.go
+++ b/process/entry/storereader.go
@@ -54,6 +54,8 @@
 	entries     []mirror.Entry
 	confirmedAt boottime.Instant
 	revision    ident.Revision
+	// watchedUntil is the revision up to which this instance has watched the store. That of the replica is lower if only streams began since.
+	watchedUntil ident.Revision
 	// needsFullRead says that a full read is needed in spite of a replica, since the store has dropped the changes after its revision, or
 	// these are too large for one reply. A full read brings each value once, whereas a watch brings each version of it.
 	needsFullRead bool
@@ -172,9 +174,14 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		defer cancel()
-		changes, at, err := n.platform.Store.Watch(ctx, "", revision, wait)
+		changes, at, err := n.platform.Store.Watch(ctx, "", max(revision, r.watchedUntil), wait)
 		if err == nil {
-			n.applyAndAnnounce(mirror.Delta{Entries: changes, Revision: at}, sent)
+			r.watchedUntil = at
+			if others := n.withoutStreams(changes); len(others) > 0 || len(changes) == 0 {
+				n.applyAndAnnounce(mirror.Delta{Entries: others, Revision: at}, sent)
+			} else {
+				n.confirm(revision, sent)
+			}
 			return nil
 		}
 		var compacted *CompactedError
@@ -247,7 +254,7 @@
 	if page.More {
 		return nil
 	}
-	n.applyAndAnnounce(mirror.Delta{Full: true, Entries: r.entries, Revision: r.revision}, r.confirmedAt)
+	n.applyAndAnnounce(mirror.Delta{Full: true, Entries: n.withoutStreams(r.entries), Revision: r.revision}, r.confirmedAt)
 	r.entries, r.needsFullRead = nil, false
 	return nil
 }
--- a/process/entry/versions_test.go
+++ b/process/entry/versions_test.go
@@ -29,10 +29,10 @@
 		instance int
 		goOn     int
 	}{
-		{"same instance", []string{"1", "2"}, func(*fleet) {}, 0, streams / 2},
-		{"other instance", []string{"1", "2"}, func(*fleet) {}, 1, streams / 2},
-		{"all instances started again", []string{"1", "2"}, restartAll, 1, streams / 2},
-		{"one version, all instances started again", []string{"1"}, restartAll, 1, streams},
+		{"same instance", []string{"version1", "version2"}, func(*fleet) {}, 0, streams / 2},
+		{"other instance", []string{"version1", "version2"}, func(*fleet) {}, 1, streams / 2},
+		{"all instances started again", []string{"version1", "version2"}, restartAll, 1, streams / 2},
+		{"one version, all instances started again", []string{"unversioned"}, restartAll, 1, streams},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -40,7 +40,7 @@
 			f := newFleet(t, 3)
 			for _, version := range tt.versions {
 				for n := range 2 {
-					f.addEngine(fmt.Sprint(versionPrefix, version, "-", n), streamUntilTakenUp(version))
+					f.addEngine(fmt.Sprint(version, "-", n), streamUntilTakenUp(version))
 				}
 			}
 			f.store.Delete("engines/e1")
--- /dev/null
+++ b/request/streams/doc.go
@@ -0,0 +1,2 @@
+// Package streams remembers at which software versions of their engines streams began.
+package streams
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -233,6 +233,12 @@
 	return entry.Lease{ID: strconv.Itoa(c.store.leases), Revision: c.store.writeLocked(mirror.Entry{Key: key, Value: value})}, nil
 }
 
+// PutUnderLease stores a value.
+func (c *Client) PutUnderLease(ctx context.Context, key string, value []byte, _ string) error {
+	_, err := c.PutWithLease(ctx, key, value, entry.AnyRevision, 0)
+	return err
+}
+
 // RenewLease counts as a call and returns an error if the store is unavailable. It has no other effect, because leases do not
 // expire here.
 func (c *Client) RenewLease(ctx context.Context, _ string) error {
