--- a/connection/forward/exchange.go
+++ b/connection/forward/exchange.go
@@ -153,12 +153,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(deadlineGrace))
 	defer cancel()
 	defer context.AfterFunc(x.Ending, cancel)()
-	mayRun := x.takeUp(ctx)
-	if !mayRun {
-		x.verdict = reasonUnknownVersion
-		x.Metrics.Add("takeUpsRefused", 1)
-	}
-	for mayRun {
+	for mayRun := x.takeUp(ctx); mayRun; {
 		now := time.Now()
 		x.snapshot = x.Snapshot()
 		if x.sends >= maxSends {
--- a/connection/forward/takeup.go
+++ b/connection/forward/takeup.go
@@ -10,7 +10,7 @@
 const reasonUnknownVersion = "it is not known at which software version the stream began"
 
 // takeUp prepares a request that takes up a stream which an earlier attempt of its caller began: only engines of the same version may go on. It returns
-// false if the version is not known.
+// false, and sets verdict, if the version is not known.
 func (x *exchange) takeUp(ctx context.Context) bool {
 	resumes := ident.Request(x.r.Header.Get(x.Names.Resumes))
 	if x.Streams == nil || !x.route.Resumable || (resumes == "" && x.r.Header.Get(x.Names.LastEventID) == "") {
@@ -20,5 +20,10 @@
 		x.continues = &version
 		return true
 	}
-	return !x.Streams.AreSeveral(x.service)
+	if !x.Streams.AreSeveral(x.service) {
+		return true
+	}
+	x.verdict = reasonUnknownVersion
+	x.Metrics.Add("takeUpsRefused", 1)
+	return false
 }
