entry: streams have a share of the control budget

Cause: what is told, asked and answered of streams was sent as heartbeats are, and in a fleet of 77 these leave only the reserve of the budget. A kind of its own, which keeps no reserve and has half of the rate, lets them pass; a take-up first asks the two collectors, and four only if none answers.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -20,6 +20,8 @@
 	Announcements
 	// News is of engines that have ended and of prompts that crash them, which many instances may find at once.
 	News
+	// Streams is at which versions streams began. A take-up waits for it, and heartbeats leave little of the burst in a large fleet.
+	Streams
 	// Membership traffic is heartbeats and probes.
 	Membership
 	// Suspects is evidence on requests that may crash engines. A crash may bring much of it.
@@ -64,7 +66,7 @@
 var reserves = [kindCount]float64{Membership: 0.1, Suspects: 0.2, Demands: 0.2, ModelLoads: 0.25, Holders: 0.3, AllowanceShares: 0.2, RequestLoads: 0.5}
 
 // shares holds the share of Rate and of Burst that a kind may use. Kinds without one may use all but their reserve.
-var shares = [kindCount]float64{Announcements: 0.25, News: 0.25}
+var shares = [kindCount]float64{Announcements: 0.25, News: 0.25, Streams: 0.5}
 
 // New returns a budget with full buckets.
 func New(now time.Time) *Budget {
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// streamCollectors is the number of instances that are told the beginning of a stream, and askedCollectors that of those which are asked for it:
-	// some of those told may have left, and others may rank higher now. Only collectorPool instances collect streams, so that the store gets few writes.
+	// streamCollectors is the number of instances that are told the beginning of a stream and asked for it first. askedCollectors are asked if none of
+	// these answers: some may have left, and others may rank higher now. Only collectorPool instances collect streams, so that the store gets few writes.
 	streamCollectors = 2
 	askedCollectors  = 4
 	collectorPool    = 6
@@ -87,9 +87,13 @@
 	body := heartbeat.StreamMessage{Asked: []streams.ID{id}}.Encode()
 	for asks := 0; asks < maxAsks || read != nil; asks++ {
 		if asks < maxAsks {
-			for _, peer := range n.collectors(id, askedCollectors) {
+			count := askedCollectors
+			if asks == 0 {
+				count = streamCollectors
+			}
+			for _, peer := range n.collectors(id, count) {
 				if peer != n.self {
-					n.sendWhole(peer, body, budget.Membership)
+					n.sendWhole(peer, body, budget.Streams)
 				}
 			}
 		}
@@ -125,7 +129,7 @@
 		}
 	}
 	for _, list := range heartbeat.SplitBeginnings(known) {
-		n.sendWhole(from, heartbeat.StreamMessage{Answered: list}.Encode(), budget.Membership)
+		n.sendWhole(from, heartbeat.StreamMessage{Answered: list}.Encode(), budget.Streams)
 	}
 }
 
@@ -143,7 +147,7 @@
 			continue
 		}
 		for _, told := range heartbeat.SplitBeginnings(some) {
-			n.sendWhole(peer, heartbeat.StreamMessage{Told: told}.Encode(), budget.Membership)
+			n.sendWhole(peer, heartbeat.StreamMessage{Told: told}.Encode(), budget.Streams)
 		}
 	}
 }
