--- a/process/entry/instance.go
+++ b/process/entry/instance.go
@@ -147,7 +147,7 @@
 		costs         *cost.Estimator
 		// streams holds the beginnings of streams, and versions those of the engines of services.
 		streams  *streams.Memory
-		versions *streams.Versions
+		versions streams.Versions
 		// unstored are the beginnings that this instance collects and has not stored yet.
 		unstored streams.Queue
 		// streamsRead is closed once this instance has read the streams in the store.
@@ -236,7 +236,7 @@
 		platform: p, log: log, self: s.Instance.Peers.String(), incarnation: ident.Incarnation(now.UnixNano()),
 		mirror: mirror.New(), members: members.New(), retryBudget: retries.New(s.retryPolicy(), now),
 		table:  placing.New(s.placingPolicy()),
-		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), streams: streams.NewMemory(), versions: streams.NewVersions(), streamsRead: make(chan struct{}), aheadPeers: make(chan peerRevision, maxHints), registry: engines.NewRegistry(),
+		client: upstream.New(), heartbeats: heartbeats, controlBudget: budget.New(now), metrics: metrics.NewRegistry(), crashes: suspects.NewCrashes(), admission: admission.New(), costs: cost.New(), streams: streams.NewMemory(), streamsRead: make(chan struct{}), aheadPeers: make(chan peerRevision, maxHints), registry: engines.NewRegistry(),
 		peerBytes:      sizelimit.NewBudget(peerBytes),
 		arrivedEngines: make(map[ident.Engine]bool), registered: make(map[string]string), roster: members.NewRoster(s.Instance.Peers.String()),
 	}
--- a/process/entry/versions_test.go
+++ b/process/entry/versions_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestTakenUpStreamStaysAtItsVersion guards against streams whose first events are of one software version and whose rest, after the client has taken them
 // up, is of another one.
 func TestTakenUpStreamStaysAtItsVersion(t *testing.T) {
-	const streams = 12
+	// versionsKnown is the time in which instances that use two versions know that these are several.
+	const streams, versionsKnown = 12, 300 * time.Millisecond
 	restartAll := func(f *fleet) {
 		f.haltAll()
 		for i := range f.nodes {
@@ -44,7 +46,12 @@
 				}
 			}
 			f.store.Delete("engines/e1")
-			f.eventually(func() bool { _, body := f.stream(0, "probe", ""); return strings.Contains(body, "data") }, "no engine is used")
+			for i := range f.nodes {
+				for _, version := range tt.versions {
+					f.eventually(func() bool { return f.streamsAt(i, version) }, "instance %d does not use %s", i, version)
+				}
+			}
+			time.Sleep(versionsKnown)
 			began := make([]string, streams)
 			for i := range began {
 				_, began[i] = f.stream(0, fmt.Sprint("began-", i), "")
@@ -86,6 +93,16 @@
 	})
 }
 
+// streamsAt reports whether an instance sends one of a few streams to an engine of a version.
+func (f *fleet) streamsAt(i int, of string) bool {
+	for n := range 8 {
+		if _, body := f.stream(i, fmt.Sprint("probe-", n), ""); version(body) == of {
+			return true
+		}
+	}
+	return false
+}
+
 // version returns the data of the first event of a stream.
 func version(stream string) string {
 	_, data, _ := strings.Cut(stream, "data: ")
--- a/request/streams/streams_test.go
+++ b/request/streams/streams_test.go
@@ -37,7 +37,7 @@
 // TestVersionsCountUntilTheirStreamsHaveEnded guards against an instance that takes the only registered version for that of all streams.
 func TestVersionsCountUntilTheirStreamsHaveEnded(t *testing.T) {
 	engine := func(v engines.Version) engines.Engine { return engines.Engine{Service: "s", Version: v} }
-	v := NewVersions()
+	var v Versions
 	at := func(s int) boottime.Instant { return boottime.Instant(time.Duration(s) * time.Second) }
 	steps := []struct {
 		second  int
--- a/request/streams/versions.go
+++ b/request/streams/versions.go
@@ -14,7 +14,7 @@
 // Retention is how long a version counts after its last engine has left: streams that it began may be taken up until then.
 const Retention = time.Minute
 
-// Versions holds the software versions of the engines of each service. It is safe for concurrent use.
+// Versions holds the software versions of the engines of each service. It is safe for concurrent use; its zero value is empty.
 type Versions struct {
 	mu sync.Mutex
 	// seen holds when an engine of a version was last registered. Those that are registered now are in registered.
@@ -24,13 +24,6 @@
 	marked map[ident.Service]bool
 }
 
-// NewVersions returns versions of no service.
-func NewVersions() *Versions {
-	return &Versions{
-		seen: make(map[ident.Service]map[engines.Version]boottime.Instant), registered: make(map[ident.Service]map[engines.Version]bool), marked: make(map[ident.Service]bool),
-	}
-}
-
 // Update replaces the registered engines, draining ones included.
 func (v *Versions) Update(all []engines.Engine, now boottime.Instant) {
 	v.mu.Lock()
@@ -40,6 +33,9 @@
 			v.seen[service][version] = now
 		}
 	}
+	if v.seen == nil {
+		v.seen = make(map[ident.Service]map[engines.Version]boottime.Instant)
+	}
 	v.registered = make(map[ident.Service]map[engines.Version]bool)
 	for _, e := range all {
 		if v.registered[e.Service] == nil {
@@ -65,11 +61,14 @@
 func (v *Versions) Mark(s ident.Service, several bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if several {
-		v.marked[s] = true
-	} else {
+	if !several {
 		delete(v.marked, s)
+		return
+	}
+	if v.marked == nil {
+		v.marked = make(map[ident.Service]bool)
 	}
+	v.marked[s] = true
 }
 
 // AreSeveral reports whether a service has or lately had engines of several versions.
