entry: only collectors read the beginnings of streams at their start

Only the instances that collect streams, or will when others have left, read them now, each page within 1.4 s, and again after a second at the earliest; the others ask these, with growing pauses.

Evidence: TestOnlyCollectorsReadStreams, 14 of 14 instances read before, at most 12 now.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -86,6 +86,8 @@
 		errors    zapcore.Core
 		logged    *observer.ObservedLogs
 		listCalls atomic.Int32
+		// streamReads counts the reads of the beginnings of streams.
+		streamReads atomic.Int32
 	}
 
 	instance struct {
@@ -300,7 +302,7 @@
 
 func (f *fleet) platform(c *memstore.Client) entry.Platform {
 	return entry.Platform{
-		Store: c, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/", Evacuations: evacuatedPrefix, Culprits: "culprits/", Versions: "versions/", Streams: "streams/"},
+		Store: streamReadCounter{c, &f.streamReads}, Decoder: testDecoder{}, Keys: entry.Keys{Configuration: configKey, Engines: "engines/", Instances: "instances/", Evacuations: evacuatedPrefix, Culprits: "culprits/", Versions: "versions/", Streams: "streams/"},
 		Names: forward.HeaderNames{
 			RequestID: "X-Request", Deadline: "X-Deadline", Model: "X-Model", PromptParts: "X-Parts", LastEventID: "X-Last", Resumes: "Resumes", Organisation: "X-Organisation",
 			ExpectedEngine: "X-Expect", ResponseSeal: "X-Seal", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,7 +26,7 @@
 	streamCollectors = 2
 	askedCollectors  = 4
 	collectorPool    = 6
-	// maxAsks is how often collectors are asked, askPause apart.
+	// maxAsks is how often collectors are asked. askPause is the first pause between two asks; it doubles, as collectors may have just started.
 	maxAsks  = 3
 	askPause = 40 * time.Millisecond
 	// streamLife is the age up to which streams are told when a second version appears, and streamTTL how long the store keeps their beginnings.
@@ -83,7 +84,10 @@
 	recorded, end := n.streams.Await(id)
 	defer end()
 	deadline := time.After(maxStreamsWait)
-	read := n.streamsRead
+	var read <-chan struct{}
+	if n.maySoonCollect() {
+		read = n.streamsRead
+	}
 	body := heartbeat.StreamMessage{Asked: []streams.ID{id}}.Encode()
 	for asks := 0; asks < maxAsks || read != nil; asks++ {
 		if asks < maxAsks {
@@ -102,7 +106,7 @@
 			return n.streams.VersionOf(id)
 		case <-read:
 			read = nil
-		case <-time.After(askPause):
+		case <-time.After(askPause << min(asks, maxAsks-1)):
 		case <-deadline:
 			return n.streams.VersionOf(id)
 		case <-ctx.Done():
@@ -164,8 +168,26 @@
 	return peers
 }
 
-// storeStreams writes the beginnings that this instance collects to the store, so that they are known after all instances have ended, until ctx ends. An
-// instance that has started while a service has several versions first reads what the store has.
+// maySoonCollect reports whether this instance collects streams or may do so when others have left. In a large fleet, the others would need the bandwidth of
+// their links to read what all streams began at.
+func (n *Instance) maySoonCollect() bool {
+	if _, _, loaded := n.mirror.State(); !loaded {
+		return false
+	}
+	if slices.Index(n.rankedFor(poolKey), n.self) >= collectorPool {
+		return false
+	}
+	n.snapshotMu.Lock()
+	peers := append(slices.Collect(maps.Values(n.registered)), n.self)
+	n.snapshotMu.Unlock()
+	// An instance that has just started does not know yet which of the registered ones are alive.
+	candidates := rank.EqualWeights(peers, func(peer string) string { return peer })
+	position := slices.IndexFunc(rank.Order(poolKey, candidates, len(peers)), func(i int) bool { return peers[i] == n.self })
+	loadedFor := boottime.Now().Sub(boottime.Instant(n.loadedAt.Load()))
+	return position < 2*collectorPool || loadedFor >= newestDelay
+}
+
+// storeStreams writes the beginnings that this instance collects to the store, so that they are known after all instances have ended, until ctx ends.
 func (n *Instance) storeStreams(ctx context.Context) error {
 	batch := 0
 	var lease streamLease
@@ -201,10 +223,8 @@
 
 // readStreams records the beginnings in the store.
 func (n *Instance) readStreams(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
 	for after := ""; ; {
-		page, err := n.platform.Store.Read(ctx, n.platform.Keys.Streams, after)
+		page, err := n.readStreamsPage(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -225,6 +245,12 @@
 	}
 }
 
+func (n *Instance) readStreamsPage(ctx context.Context, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	return n.platform.Store.Read(ctx, n.platform.Keys.Streams, after)
+}
+
 // withoutStreams returns the entries that are not beginnings of streams. The replica does not have these, as they change many times a second.
 func (n *Instance) withoutStreams(list []mirror.Entry) []mirror.Entry {
 	if n.platform.Keys.Streams == "" {
@@ -238,11 +264,13 @@
 func (n *Instance) storeVersions(ctx context.Context) error {
 	known := make(map[ident.Service]severalSince)
 	read := false
+	var readAt time.Time
 	for pause.For(ctx, versionsCheckPeriod) {
 		now := time.Now()
-		if _, _, loaded := n.mirror.State(); !read && loaded && n.versions.AnySeveral(boottime.Now()) {
+		if !read && !now.Before(readAt) && n.versions.AnySeveral(boottime.Now()) && n.maySoonCollect() {
 			if err := n.readStreams(ctx); err != nil {
 				n.log.Warn("beginnings of streams not read", zap.Error(err))
+				readAt = now.Add(maxRetryDelay)
 			} else {
 				read = true
 				close(n.streamsRead)
--- a/process/entry/versions_test.go
+++ b/process/entry/versions_test.go
@@ -1,12 +1,17 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/vanillaroute/vanillaroute/process/entry"
+	"github.com/vanillaroute/vanillaroute/standin/memstore"
 )
 
 // TestTakenUpStreamStaysAtItsVersion guards against streams whose first events are of one software version and whose rest, after the client has taken them
@@ -14,15 +19,6 @@
 func TestTakenUpStreamStaysAtItsVersion(t *testing.T) {
 	// versionsKnown is the time in which instances that use two versions know that these are several.
 	const streams, versionsKnown = 12, 300 * time.Millisecond
-	restartAll := func(f *fleet) {
-		f.haltAll()
-		for i := range f.nodes {
-			f.launch(i, false)
-		}
-		for i := range f.nodes {
-			f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
-		}
-	}
 	tests := []struct {
 		name     string
 		versions []string
@@ -33,8 +29,8 @@
 	}{
 		{"same instance", []string{"version1", "version2"}, func(*fleet) {}, 0, streams / 2},
 		{"other instance", []string{"version1", "version2"}, func(*fleet) {}, 1, streams / 2},
-		{"all instances started again", []string{"version1", "version2"}, restartAll, 1, streams / 2},
-		{"one version, all instances started again", []string{"unversioned"}, restartAll, 1, streams},
+		{"all instances started again", []string{"version1", "version2"}, (*fleet).restartAll, 1, streams / 2},
+		{"one version, all instances started again", []string{"unversioned"}, (*fleet).restartAll, 1, streams},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -75,6 +71,56 @@
 	}
 }
 
+// TestOnlyCollectorsReadStreams guards against a fleet all of whose instances read the beginnings of all streams after a common start: on the slowest links
+// no read ended in time.
+func TestOnlyCollectorsReadStreams(t *testing.T) {
+	const size, collectors = 14, 12
+	f := newFleet(t, size)
+	for _, version := range []string{"version1", "version2"} {
+		f.addEngine(version+"-0", streamUntilTakenUp(version))
+	}
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.streamsAt(i, "version1") }, "instance %d does not use version1", i)
+	}
+	f.haltAll()
+	f.streamReads.Store(0)
+	f.launchAll()
+	f.eventually(func() bool { return f.streamReads.Load() > 0 }, "no instance reads the streams")
+	time.Sleep(2 * time.Second)
+	if reads := f.streamReads.Load(); reads > collectors {
+		t.Errorf("%d of %d instances have read the streams", reads, size)
+	}
+}
+
+// restartAll ends all instances and starts them again.
+func (f *fleet) restartAll() {
+	f.haltAll()
+	f.launchAll()
+}
+
+// launchAll starts all instances and waits until they are ready.
+func (f *fleet) launchAll() {
+	for i := range f.nodes {
+		f.launch(i, false)
+	}
+	for i := range f.nodes {
+		f.eventually(func() bool { return f.ready(i) }, "instance %d is not ready", i)
+	}
+}
+
+// streamReadCounter counts the reads of beginnings of streams.
+type streamReadCounter struct {
+	*memstore.Client
+	reads *atomic.Int32
+}
+
+func (s streamReadCounter) Read(ctx context.Context, prefix, after string) (entry.Page, error) {
+	if prefix == "streams/" {
+		s.reads.Add(1)
+	}
+	return s.Client.Read(ctx, prefix, after)
+}
+
 // streamUntilTakenUp returns an engine that breaks off each stream after an event with its version, unless a client has taken the stream up.
 func streamUntilTakenUp(version string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
