forward: a take-up goes to the service that began the stream

A route may divide its requests between services by a hash of their ids. A take-up has an id of its own, so it could go to another service than the stream that it goes on with; nobody knows the version of that stream there, and it was refused, or went on at an engine of another kind. The service of a take-up is that of the id in Resumes now.

Evidence: TestTakeUpGoesToTheServiceThatBeganTheStream; 11 of 20 ids went elsewhere before.

--- a/connection/forward/handler.go
+++ b/connection/forward/handler.go
@@ -134,6 +134,9 @@
 		header:   h.engineHeader(r.Header, org),
 	}
 	x.service = route.Service(x.id)
+	if resumed, takesUp := x.takenUp(); takesUp && resumed != "" {
+		x.service = route.Service(resumed)
+	}
 	if h.Overload != nil {
 		x.overload = h.Overload()
 	}
