--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -223,6 +223,7 @@
 
 // readStreams records the beginnings in the store.
 func (n *Instance) readStreams(ctx context.Context) error {
+	began, count := boottime.Now(), 0
 	for after := ""; ; {
 		page, err := n.readStreamsPage(ctx, after)
 		if err != nil {
@@ -234,12 +235,15 @@
 			if err != nil {
 				n.logInvalidEntry(e, err)
 			}
+			count += len(list)
 			for _, b := range list {
 				n.streams.Record(streams.Beginning(b), now)
 			}
 			after = e.Key
 		}
 		if !page.More {
+			// Logged once after a start.
+			n.log.Info("beginnings of streams read", zap.Int("count", count), zap.Duration("tookMs", boottime.Now().Sub(began)))
 			return nil
 		}
 	}
