entry: instances tell others of their own streams only

Cause: when an instance learns that there are several versions, it tells the collectors which streams began lately. After a common start that was all that it had read from the store, so collectors stored and heard each stream again, more with each start, and forgot the streams in progress for want of room (8,192). An instance tells of those now that it has seen begin itself. A memory holds 32,768, for as long as a version counts.

Evidence: TestHeardBeginningsAreNotToldAgain.

--- a/process/entry/streams.go
+++ b/process/entry/streams.go
@@ -69,7 +69,7 @@
 // Began implements forward.StreamVersions. Collectors are told before the first event is passed on if the service has several versions.
 func (n *Instance) Began(s ident.Service, org ident.Organisation, r ident.Request, v engines.Version) {
 	b := streams.Beginning{ID: streams.NewID(s, org, r), Version: v}
-	n.streams.Record(b, time.Now())
+	n.streams.RecordOwn(b, time.Now())
 	if n.AreSeveral(s) {
 		n.tellStreams([]streams.Beginning{b})
 	}
@@ -264,7 +264,7 @@
 }
 
 // storeVersions writes the services that have or lately had several versions to the store, so that instances that start later know it, until ctx ends. When
-// a second version appears, it tells the collectors which streams are in progress.
+// a second version appears, it tells the collectors which of its own streams may be in progress.
 func (n *Instance) storeVersions(ctx context.Context) error {
 	known := make(map[ident.Service]severalSince)
 	read := false
@@ -290,7 +290,7 @@
 			k, ok := known[service]
 			if !ok {
 				k.dueAt = now
-				n.tellStreams(n.streams.Since(now.Add(-streamLife)))
+				n.tellStreams(n.streams.OwnSince(now.Add(-streamLife)))
 				n.log.Info("several versions", zap.String("service", string(service)))
 			}
 			known[service] = n.storeService(ctx, service, k, now)
--- a/request/streams/memory.go
+++ b/request/streams/memory.go
@@ -10,8 +10,8 @@
 	"github.com/vanillaroute/vanillaroute/version/engines"
 )
 
-// maxStreams bounds the streams that a memory holds.
-const maxStreams = 8192
+// maxStreams bounds the streams that a memory holds. A collector hears of some hundred a second.
+const maxStreams = 32768
 
 type (
 	// ID identifies the request that began a stream. It is a 64-bit hash.
@@ -33,6 +33,8 @@
 	beginning struct {
 		version engines.Version
 		at      time.Time
+		// own says that this instance has seen the stream begin.
+		own bool
 		// ambiguous says that streams of several versions began under the id.
 		ambiguous bool
 	}
@@ -52,14 +54,21 @@
 	return &Memory{known: known, waiting: make(map[ID]map[chan struct{}]bool)}
 }
 
-// Record records the beginning of a stream, and wakes those who wait for it.
-func (m *Memory) Record(b Beginning, now time.Time) {
+// RecordOwn records the beginning of a stream of this instance.
+func (m *Memory) RecordOwn(b Beginning, now time.Time) { m.record(b, true, now) }
+
+// Record records the beginning of a stream of which this instance has heard, and wakes those who wait for it.
+func (m *Memory) Record(b Beginning, now time.Time) { m.record(b, false, now) }
+
+func (m *Memory) record(b Beginning, own bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.forget(now)
 	known, ok := m.known.Get(b.ID)
 	if !ok {
 		known = beginning{version: b.Version, at: now}
 	}
+	known.own = known.own || own
 	known.ambiguous = known.ambiguous || known.version != b.Version
 	m.known.Add(b.ID, known)
 	for woken := range m.waiting[b.ID] {
@@ -68,6 +77,17 @@
 	delete(m.waiting, b.ID)
 }
 
+// forget removes the least recently used beginnings that are older than Retention.
+func (m *Memory) forget(now time.Time) {
+	for {
+		_, oldest, ok := m.known.GetOldest()
+		if !ok || now.Sub(oldest.at) < Retention {
+			return
+		}
+		m.known.RemoveOldest()
+	}
+}
+
 // VersionOf returns the version at which a stream began, and false if it is not known or not certain.
 func (m *Memory) VersionOf(id ID) (engines.Version, bool) {
 	m.mu.Lock()
@@ -95,13 +115,13 @@
 	}
 }
 
-// Since returns the streams that were recorded after a time and are certain, oldest first.
-func (m *Memory) Since(t time.Time) []Beginning {
+// OwnSince returns the streams of this instance that began after a time and are certain.
+func (m *Memory) OwnSince(t time.Time) []Beginning {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Beginning
 	for _, id := range m.known.Keys() {
-		if b, _ := m.known.Peek(id); b.at.After(t) && !b.ambiguous {
+		if b, _ := m.known.Peek(id); b.own && b.at.After(t) && !b.ambiguous {
 			list = append(list, Beginning{ID: id, Version: b.version})
 		}
 	}
--- a/request/streams/streams_test.go
+++ b/request/streams/streams_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// TestHeardBeginningsAreNotToldAgain guards against instances that tell each other all that they have heard, more each time that they start again, until
+// the streams in progress were forgotten for want of room.
+func TestHeardBeginningsAreNotToldAgain(t *testing.T) {
+	start := time.Now()
+	m := NewMemory()
+	m.Record(Beginning{ID: 1, Version: "v1"}, start)
+	m.RecordOwn(Beginning{ID: 2, Version: "v1"}, start)
+	m.Record(Beginning{ID: 2, Version: "v1"}, start.Add(time.Second))
+	if own := m.OwnSince(start.Add(-time.Second)); len(own) != 1 || own[0].ID != 2 {
+		t.Errorf("told: %+v, want stream 2 only", own)
+	}
+	m.Record(Beginning{ID: 3, Version: "v1"}, start.Add(Retention))
+	if _, known := m.VersionOf(1); known {
+		t.Error("a stream is known for longer than its version counts")
+	}
+}
+
 // TestVersionsCountUntilTheirStreamsHaveEnded guards against an instance that takes the only registered version for that of all streams.
 func TestVersionsCountUntilTheirStreamsHaveEnded(t *testing.T) {
 	engine := func(v engines.Version) engines.Engine { return engines.Engine{Service: "s", Version: v} }
